--- /dev/null
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -0,0 +1,551 @@
+package org.radishspan.budget;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiFunction;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.platform.SharedObject.Codec;
+import org.radishspan.platform.SharedObject.Mutation;
+import org.radishspan.proto.AccountState;
+import org.radishspan.proto.AuditState;
+import org.radishspan.proto.HolderState;
+import org.radishspan.proto.LedgerState;
+import org.radishspan.proto.ShareState;
+import org.radishspan.proto.TransferState;
+
+/**
+ * The idempotent mutations of a ledger object.
+ *
+ * <p>In every committed version, the tokens of removed shares and the grants of present ones together stay within
+ * each account's limit. A router spends only what a committed grant gave it; so billed tokens never pass the limit,
+ * whatever happens to clocks, links and processes.
+ *
+ * <p>Running totals and per-share sequence numbers make each mutation idempotent: applying one again changes nothing.
+ */
+public final class Ledger {
+    /** Reads and writes a ledger object. */
+    public static final Codec<LedgerState> CODEC = new Codec<>(Ledger::decode, LedgerState::toByteArray);
+
+    /** The number of a share's first request, which creates it. */
+    public static final long FIRST_REQUEST = 1;
+
+    private static final int MAX_OPERATION_IDS = 1_000;
+    private static final int MAX_AUDIT_ENTRIES = 500;
+
+    private Ledger() {}
+
+    /**
+     * What a router asks for its share.
+     *
+     * @param shareId the share, new with each router process
+     * @param incarnation the router process
+     * @param vm the VM it runs on
+     * @param requestSeq counts the requests of this share
+     * @param tokens how many more tokens would serve the expected demand
+     * @param minimumTokens the least that helps; a smaller grant is refused
+     * @param holders the router processes that may hold unposted business of this share
+     */
+    public record GrantRequest(
+            String shareId,
+            String incarnation,
+            String vm,
+            long requestSeq,
+            long tokens,
+            long minimumTokens,
+            List<String> holders) {}
+
+    /**
+     * The bills of a share as running totals.
+     *
+     * @param shareId the share
+     * @param settleSeq rises with each report
+     * @param spentTokens all bills without an idempotency key
+     * @param keyedSeq bills with an idempotency key up to this number are in {@code keyedSpentTokens} or void
+     * @param keyedSpentTokens all bills with an idempotency key up to {@code keyedSeq}
+     */
+    public record Settlement(String shareId, long settleSeq, long spentTokens, long keyedSeq, long keyedSpentTokens) {}
+
+    /**
+     * Who changes an account, for the audit trail.
+     *
+     * @param actor the operator
+     * @param operationId the same for each repetition of one command
+     * @param atMillis when
+     */
+    public record Operation(String actor, String operationId, long atMillis) {}
+
+    /** Creates an account. */
+    public static Mutation<LedgerState> create(String budget, long limitTokens, String reclaim, Operation operation) {
+        return state -> {
+            AccountState existing = state.getAccountsMap().get(budget);
+            if (existing != null && existing.getOperationIdsList().contains(operation.operationId())) {
+                return Either.right(state);
+            }
+            if (existing != null) {
+                return Either.left(Failure.notRun(ErrorKind.CONFLICT, "budget " + budget + " exists already"));
+            }
+            AccountState created = AccountState.newBuilder()
+                    .setBudget(budget)
+                    .setLimitTokens(limitTokens)
+                    .setReclaim(reclaim)
+                    .addOperationIds(operation.operationId())
+                    .build();
+            AuditState audit = audit(operation, "budget create " + budget, "", "limit " + limitTokens);
+            return Either.right(
+                    withAudit(state, audit).putAccounts(budget, created).build());
+        };
+    }
+
+    /** Adds tokens to the limit, once per operation id. */
+    public static Mutation<LedgerState> topUp(String budget, long tokens, Operation operation) {
+        return changeLimit(budget, operation, "budget topup " + budget, limit -> limit + tokens);
+    }
+
+    /** Sets the limit, which may not fall below what is spent or granted. */
+    public static Mutation<LedgerState> setLimit(String budget, long limitTokens, Operation operation) {
+        return changeLimit(budget, operation, "budget limit " + budget, limit -> limitTokens);
+    }
+
+    private static Mutation<LedgerState> changeLimit(
+            String budget, Operation operation, String action, UnaryOperator<Long> change) {
+        return onAccount(budget, (state, account) -> {
+            if (account.getOperationIdsList().contains(operation.operationId())) {
+                return Either.right(state);
+            }
+            long limit = change.apply(account.getLimitTokens());
+            long committed = committedTokens(account);
+            if (limit < committed) {
+                return Either.left(Failure.notRun(
+                        ErrorKind.CONFLICT,
+                        "limit " + limit + " is below the " + committed + " tokens spent or granted to routers"));
+            }
+            if (account.getOperationIdsCount() >= MAX_OPERATION_IDS) {
+                return Either.left(Failure.notRun(
+                        ErrorKind.OVERLOADED, "budget " + budget + " remembers its most operation ids; compact it"));
+            }
+            AccountState changed = account.toBuilder()
+                    .setLimitTokens(limit)
+                    .addOperationIds(operation.operationId())
+                    .build();
+            AuditState audit = audit(operation, action, "limit " + account.getLimitTokens(), "limit " + limit);
+            return Either.right(
+                    withAudit(state, audit).putAccounts(budget, changed).build());
+        });
+    }
+
+    /** Grants tokens to a share, as many as the policy allows; refused if less than the asked minimum is free. */
+    public static Mutation<LedgerState> grant(String budget, GrantRequest request, GrantRule rule) {
+        return onAccount(budget, (state, account) -> {
+            int index = indexOf(account, request.shareId());
+            if (index < 0 && request.requestSeq() > FIRST_REQUEST) {
+                return Either.left(Failure.ran(ErrorKind.SHARE_LOST, "share " + request.shareId() + " is gone"));
+            }
+            ShareState share = index < 0 ? newShare(request) : account.getShares(index);
+            if (share.getRequestSeq() >= request.requestSeq()) {
+                return Either.right(state);
+            }
+            if (share.getClosed()) {
+                return Either.left(closed(request.shareId()));
+            }
+            long granted = rule.grantTokens(freeTokens(account), account, request);
+            boolean enough = granted >= request.minimumTokens();
+            ShareState changed = share.toBuilder()
+                    .setRequestSeq(request.requestSeq())
+                    .setGrantedTokens(share.getGrantedTokens() + (enough ? granted : 0))
+                    .setWantedTokens(enough ? 0 : request.tokens())
+                    .build();
+            return Either.right(putShare(state, account, index, withHolders(changed, request.holders())));
+        });
+    }
+
+    /** Gives tokens of a share back; the router has stopped counting on them before it asks. */
+    public static Mutation<LedgerState> giveBack(String budget, String shareId, long requestSeq, long tokens) {
+        return onShare(budget, shareId, (state, account, index) -> {
+            ShareState share = account.getShares(index);
+            if (share.getRequestSeq() >= requestSeq) {
+                return Either.right(state);
+            }
+            ShareState changed = share.toBuilder()
+                    .setRequestSeq(requestSeq)
+                    .setGrantedTokens(share.getGrantedTokens() - tokens)
+                    .setWantedTokens(0)
+                    .build();
+            if (changed.getGrantedTokens() < spentTokens(changed)) {
+                return Either.left(
+                        Failure.notRun(ErrorKind.INTERNAL, "share " + shareId + " gave back tokens it had spent"));
+            }
+            return Either.right(putShare(state, account, index, changed));
+        });
+    }
+
+    /** Raises the running totals of an open share, as its own router reports them. */
+    public static Mutation<LedgerState> settle(String budget, Settlement settlement) {
+        return onShare(budget, settlement.shareId(), (state, account, index) -> {
+            ShareState share = account.getShares(index);
+            if (share.getSettleSeq() >= settlement.settleSeq()) {
+                return Either.right(state);
+            }
+            if (share.getClosed()) {
+                return Either.left(closed(settlement.shareId()));
+            }
+            return raise(state, account, index, settlement);
+        });
+    }
+
+    /** Raises the running totals of a share, as a holder reports them; also after the share was closed. */
+    public static Mutation<LedgerState> settleHeld(String budget, String holder, Settlement settlement) {
+        return onShare(budget, settlement.shareId(), (state, account, index) -> {
+            ShareState share = account.getShares(index);
+            if (share.getSettleSeq() >= settlement.settleSeq()) {
+                return Either.right(state);
+            }
+            if (!unreleased(share, holder)) {
+                return Either.left(Failure.notRun(
+                        ErrorKind.SHARE_LOST, holder + " is no holder of share " + settlement.shareId()));
+            }
+            return raise(state, account, index, settlement);
+        });
+    }
+
+    private static Either<Failure, LedgerState> raise(
+            LedgerState state, AccountState account, int index, Settlement settlement) {
+        ShareState share = account.getShares(index);
+        ShareState changed = share.toBuilder()
+                .setSettleSeq(settlement.settleSeq())
+                .setSpentTokens(Math.max(share.getSpentTokens(), settlement.spentTokens()))
+                .setKeyedSeq(Math.max(share.getKeyedSeq(), settlement.keyedSeq()))
+                .setKeyedSpentTokens(Math.max(share.getKeyedSpentTokens(), settlement.keyedSpentTokens()))
+                .build();
+        if (spentTokens(changed) > changed.getGrantedTokens()) {
+            return Either.left(Failure.ran(
+                    ErrorKind.INTERNAL, "share " + settlement.shareId() + " would spend more than it was granted"));
+        }
+        return Either.right(putShare(state, account, index, changed));
+    }
+
+    /** Moves granted tokens between two shares, up to a running total for the pair. */
+    public static Mutation<LedgerState> transfer(String budget, String fromShare, String toShare, long totalTokens) {
+        return onShare(budget, toShare, (state, account, toIndex) -> {
+            ShareState to = account.getShares(toIndex);
+            long moved = to.getTransfersInList().stream()
+                    .filter(transfer -> transfer.getFromShare().equals(fromShare))
+                    .mapToLong(TransferState::getTotalTokens)
+                    .findFirst()
+                    .orElse(0);
+            if (moved >= totalTokens) {
+                return Either.right(state);
+            }
+            int fromIndex = indexOf(account, fromShare);
+            if (fromIndex < 0) {
+                return Either.left(Failure.notRun(ErrorKind.SHARE_LOST, "share " + fromShare + " is gone"));
+            }
+            ShareState from = account.getShares(fromIndex);
+            long tokens = totalTokens - moved;
+            AccountState changed = account.toBuilder()
+                    .setShares(fromIndex, from.toBuilder().setGrantedTokens(from.getGrantedTokens() - tokens))
+                    .setShares(toIndex, withTransfer(to, fromShare, totalTokens, tokens))
+                    .build();
+            return Either.right(state.toBuilder().putAccounts(budget, changed).build());
+        });
+    }
+
+    private static ShareState withTransfer(ShareState to, String fromShare, long totalTokens, long tokens) {
+        ShareState.Builder builder = to.toBuilder().setGrantedTokens(to.getGrantedTokens() + tokens);
+        builder.clearTransfersIn();
+        for (TransferState transfer : to.getTransfersInList()) {
+            if (!transfer.getFromShare().equals(fromShare)) {
+                builder.addTransfersIn(transfer);
+            }
+        }
+        return builder.addTransfersIn(
+                        TransferState.newBuilder().setFromShare(fromShare).setTotalTokens(totalTokens))
+                .build();
+    }
+
+    /** Closes every share of a router process that is taken for dead; its own reports are refused from then on. */
+    public static Mutation<LedgerState> close(String incarnation) {
+        return onShares(
+                share -> share.getIncarnation().equals(incarnation),
+                share -> share.toBuilder().setClosed(true).build());
+    }
+
+    /**
+     * A bill that a journal committed.
+     *
+     * @param keyedSeq its number among the share's keyed bills
+     * @param tokens what it charges
+     */
+    public record KeyedBill(long keyedSeq, long tokens) {}
+
+    /** Adds the bills found in the closed journals to a closed share, once. */
+    public static Mutation<LedgerState> sweepJournals(String budget, String shareId, List<KeyedBill> bills) {
+        return state -> {
+            AccountState account = state.getAccountsMap().get(budget);
+            int index = account == null ? -1 : indexOf(account, shareId);
+            if (account == null || index < 0 || account.getShares(index).getJournalsSwept()) {
+                return Either.right(state);
+            }
+            ShareState share = account.getShares(index);
+            long unpostedTokens = bills.stream()
+                    .filter(bill -> bill.keyedSeq() > share.getKeyedSeq())
+                    .mapToLong(KeyedBill::tokens)
+                    .sum();
+            ShareState changed = share.toBuilder()
+                    .setJournalsSwept(true)
+                    .setKeyedSpentTokens(share.getKeyedSpentTokens() + unpostedTokens)
+                    .build();
+            return Either.right(finalizeClosed(putShare(state, account, index, changed)));
+        };
+    }
+
+    /** Says that a holder has posted all it held of closed shares and takes nothing more for them. */
+    public static Mutation<LedgerState> release(String holder, List<String> shareIds) {
+        return onShares(
+                share -> shareIds.contains(share.getShareId()) && unreleased(share, holder),
+                share -> withReleased(share, holder));
+    }
+
+    /** Removes a share whose router stops with nothing outstanding. */
+    public static Mutation<LedgerState> retire(String budget, Settlement last) {
+        return state -> {
+            AccountState account = state.getAccountsMap().get(budget);
+            int index = account == null ? -1 : indexOf(account, last.shareId());
+            if (account == null || index < 0) {
+                return Either.right(state);
+            }
+            return raise(state, account, index, last).map(settled -> removeShare(settled, budget, last.shareId()));
+        };
+    }
+
+    /** Gives the unspent rest of a closed share back on an operator's word. */
+    public static Mutation<LedgerState> releaseForfeit(String budget, String shareId, Operation operation) {
+        return state -> {
+            AccountState account = state.getAccountsMap().get(budget);
+            int index = account == null ? -1 : indexOf(account, shareId);
+            if (account == null || index < 0) {
+                return Either.right(state);
+            }
+            ShareState share = account.getShares(index);
+            if (!share.getClosed()) {
+                return Either.left(Failure.notRun(ErrorKind.CONFLICT, "share " + shareId + " is in use"));
+            }
+            AuditState audit = audit(
+                    operation,
+                    "budget release " + budget,
+                    "share " + shareId + " holds " + (share.getGrantedTokens() - spentTokens(share)),
+                    "released");
+            return Either.right(removeShare(withAudit(state, audit).build(), budget, shareId));
+        };
+    }
+
+    /** Removes closed shares of which every bill is known and whose account lets their rest be given back. */
+    public static LedgerState finalizeClosed(LedgerState state) {
+        LedgerState result = state;
+        for (AccountState account : state.getAccountsMap().values()) {
+            for (ShareState share : account.getSharesList()) {
+                if (settledForGood(account, share)) {
+                    result = removeShare(result, account.getBudget(), share.getShareId());
+                }
+            }
+        }
+        return result;
+    }
+
+    private static boolean settledForGood(AccountState account, ShareState share) {
+        return share.getClosed()
+                && share.getJournalsSwept()
+                && share.getHoldersList().stream().allMatch(HolderState::getReleased)
+                && !account.getReclaim().equals(ReclaimMode.OPERATOR.wireName());
+    }
+
+    /** Returns the tokens of an account that no share holds and no bill used. */
+    public static long freeTokens(AccountState account) {
+        return account.getLimitTokens() - committedTokens(account);
+    }
+
+    /** Returns the billed tokens of an account. */
+    public static long billedTokens(AccountState account) {
+        long total = account.getClosedSpentTokens();
+        for (ShareState share : account.getSharesList()) {
+            total += spentTokens(share);
+        }
+        return total;
+    }
+
+    /** Returns the unspent tokens that closed shares of an account still hold. */
+    public static long forfeitedTokens(AccountState account) {
+        return account.getSharesList().stream()
+                .filter(ShareState::getClosed)
+                .mapToLong(share -> share.getGrantedTokens() - spentTokens(share))
+                .sum();
+    }
+
+    /** Returns the billed tokens of a share. */
+    public static long spentTokens(ShareState share) {
+        return share.getSpentTokens() + share.getKeyedSpentTokens();
+    }
+
+    /** Returns a share of an account. */
+    public static Optional<ShareState> share(LedgerState state, String budget, String shareId) {
+        AccountState account = state.getAccountsMap().get(budget);
+        int index = account == null ? -1 : indexOf(account, shareId);
+        return account == null || index < 0 ? Optional.empty() : Optional.of(account.getShares(index));
+    }
+
+    private static long committedTokens(AccountState account) {
+        long total = account.getClosedSpentTokens();
+        for (ShareState share : account.getSharesList()) {
+            total += share.getGrantedTokens();
+        }
+        return total;
+    }
+
+    private static ShareState newShare(GrantRequest request) {
+        return ShareState.newBuilder()
+                .setShareId(request.shareId())
+                .setIncarnation(request.incarnation())
+                .setVm(request.vm())
+                .build();
+    }
+
+    private static ShareState withHolders(ShareState share, List<String> holders) {
+        ShareState.Builder builder = share.toBuilder().clearHolders();
+        for (String holder : holders) {
+            builder.addHolders(HolderState.newBuilder().setIncarnation(holder));
+        }
+        return builder.build();
+    }
+
+    private static ShareState withReleased(ShareState share, String holder) {
+        ShareState.Builder builder = share.toBuilder();
+        for (int i = 0; i < share.getHoldersCount(); i++) {
+            if (share.getHolders(i).getIncarnation().equals(holder)) {
+                builder.setHolders(i, share.getHolders(i).toBuilder().setReleased(true));
+            }
+        }
+        return builder.build();
+    }
+
+    private static boolean unreleased(ShareState share, String holder) {
+        return share.getHoldersList().stream()
+                .anyMatch(candidate -> candidate.getIncarnation().equals(holder) && !candidate.getReleased());
+    }
+
+    private static LedgerState removeShare(LedgerState state, String budget, String shareId) {
+        AccountState account = state.getAccountsOrThrow(budget);
+        int index = indexOf(account, shareId);
+        AccountState changed = account.toBuilder()
+                .setClosedSpentTokens(account.getClosedSpentTokens() + spentTokens(account.getShares(index)))
+                .removeShares(index)
+                .build();
+        return state.toBuilder().putAccounts(budget, changed).build();
+    }
+
+    private static LedgerState putShare(LedgerState state, AccountState account, int index, ShareState share) {
+        AccountState.Builder builder = account.toBuilder();
+        if (index < 0) {
+            builder.addShares(share);
+        } else {
+            builder.setShares(index, share);
+        }
+        return state.toBuilder()
+                .putAccounts(account.getBudget(), builder.build())
+                .build();
+    }
+
+    private static int indexOf(AccountState account, String shareId) {
+        for (int i = 0; i < account.getSharesCount(); i++) {
+            if (account.getShares(i).getShareId().equals(shareId)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private static Failure closed(String shareId) {
+        return Failure.ran(ErrorKind.SHARE_LOST, "share " + shareId + " was closed by another router");
+    }
+
+    /** A change of one account. */
+    @FunctionalInterface
+    private interface ShareChange {
+        Either<Failure, LedgerState> apply(LedgerState state, AccountState account, int index);
+    }
+
+    private static Mutation<LedgerState> onAccount(
+            String budget, BiFunction<LedgerState, AccountState, Either<Failure, LedgerState>> change) {
+        return state -> {
+            AccountState account = state.getAccountsMap().get(budget);
+            if (account == null) {
+                return Either.left(Failure.notRun(ErrorKind.NOT_FOUND, "no budget named " + budget));
+            }
+            return change.apply(state, account);
+        };
+    }
+
+    private static Mutation<LedgerState> onShare(String budget, String shareId, ShareChange change) {
+        return onAccount(budget, (state, account) -> {
+            int index = indexOf(account, shareId);
+            if (index < 0) {
+                return Either.left(Failure.ran(ErrorKind.SHARE_LOST, "share " + shareId + " is gone"));
+            }
+            return change.apply(state, account, index);
+        });
+    }
+
+    private static Mutation<LedgerState> onShares(Predicate<ShareState> which, UnaryOperator<ShareState> change) {
+        return state -> {
+            LedgerState.Builder builder = state.toBuilder();
+            for (AccountState account : state.getAccountsMap().values()) {
+                if (account.getSharesList().stream().anyMatch(which)) {
+                    builder.putAccounts(account.getBudget(), changeShares(account, which, change));
+                }
+            }
+            return Either.right(finalizeClosed(builder.build()));
+        };
+    }
+
+    private static AccountState changeShares(
+            AccountState account, Predicate<ShareState> which, UnaryOperator<ShareState> change) {
+        AccountState.Builder builder = account.toBuilder();
+        for (int i = 0; i < account.getSharesCount(); i++) {
+            if (which.test(account.getShares(i))) {
+                builder.setShares(i, change.apply(account.getShares(i)));
+            }
+        }
+        return builder.build();
+    }
+
+    private static AuditState audit(Operation operation, String action, String before, String after) {
+        return AuditState.newBuilder()
+                .setAtMillis(operation.atMillis())
+                .setActor(operation.actor())
+                .setOperationId(operation.operationId())
+                .setAction(action)
+                .setBefore(before)
+                .setAfter(after)
+                .build();
+    }
+
+    private static LedgerState.Builder withAudit(LedgerState state, AuditState audit) {
+        LedgerState.Builder builder = state.toBuilder().addAudit(audit);
+        while (builder.getAuditCount() > MAX_AUDIT_ENTRIES) {
+            builder.removeAudit(0);
+        }
+        return builder;
+    }
+
+    private static LedgerState decode(byte[] bytes) {
+        try {
+            return LedgerState.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException("the ledger object holds no ledger", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -0,0 +1,182 @@
+package org.radishspan.budget;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.agrona.collections.Long2LongHashMap;
+import org.jspecify.annotations.Nullable;
+import org.radishspan.error.Failure;
+
+/**
+ * One row of the {@link ShareTable}: the part of a budget that this router may spend.
+ *
+ * <p>Available tokens are granted ones less those billed or reserved. A reservation covers the worst case of a request
+ * and is replaced by the actual bill when the answer is complete.
+ */
+public final class Share {
+    private static final long NOT_RESOLVED = -1;
+
+    /** A bill that waits until the ledger, or a holder, has it. */
+    record PendingBill(long settleSeq, Consumer<Either<Failure, Void>> done) {}
+
+    /** A request that waits for tokens. */
+    record Waiter(long tokens, long deadlineMillis, Consumer<Either<Failure, Void>> done) {}
+
+    final String budget;
+    final int partition;
+    String shareId;
+    long grantedTokens;
+    long spentTokens;
+    long reservedTokens;
+    long requestSeq;
+    long settleSeq;
+    long committedSettleSeq;
+    long heldSettleSeq;
+    long settleSubmittedAtMillis;
+    boolean requestInFlight;
+    boolean settleInFlight;
+    long nextRequestAtMillis;
+    long nextHandoverAtMillis;
+    double demandTokensPerSecond;
+    long demandTokens;
+    boolean exhausted;
+
+    @Nullable
+    Failure lastFailure;
+
+    final List<String> holders = new ArrayList<>();
+    final Deque<PendingBill> bills = new ArrayDeque<>();
+    final Deque<Waiter> waiters = new ArrayDeque<>();
+
+    private long lastKeyedSeq;
+    private long resolvedKeyedSeq;
+    private long resolvedKeyedTokens;
+    private long committedKeyedTokens;
+    private final Long2LongHashMap resolvedOutOfOrder = new Long2LongHashMap(NOT_RESOLVED);
+
+    Share(String budget, int partition, String shareId) {
+        this.budget = budget;
+        this.partition = partition;
+        this.shareId = shareId;
+    }
+
+    /** Returns the budget that the share is a part of. */
+    public String budget() {
+        return budget;
+    }
+
+    /** Returns the id under which the ledger knows the share. */
+    public String shareId() {
+        return shareId;
+    }
+
+    /** Returns the tokens that a new request may reserve. */
+    public long availableTokens() {
+        return grantedTokens - spentTokens - committedKeyedTokens - reservedTokens;
+    }
+
+    /** Returns the tokens granted. */
+    public long grantedTokens() {
+        return grantedTokens;
+    }
+
+    /** Returns the tokens billed. */
+    public long billedTokens() {
+        return spentTokens + committedKeyedTokens;
+    }
+
+    /** Returns the tokens reserved for requests in progress. */
+    public long reservedTokens() {
+        return reservedTokens;
+    }
+
+    /** Returns the measured demand. */
+    public double demandTokensPerSecond() {
+        return demandTokensPerSecond;
+    }
+
+    boolean tryReserve(long tokens) {
+        if (availableTokens() < tokens) {
+            return false;
+        }
+        reservedTokens += tokens;
+        demandTokens += tokens;
+        return true;
+    }
+
+    void cancelReservation(long tokens) {
+        reservedTokens -= tokens;
+        demandTokens = Math.max(0, demandTokens - tokens);
+    }
+
+    /** Replaces a reservation by a bill; the consumer is told once the bill is safe. */
+    void bill(long reserved, long tokens, Consumer<Either<Failure, Void>> done) {
+        replaceReservation(reserved, tokens);
+        spentTokens += tokens;
+        settleSeq++;
+        bills.add(new PendingBill(settleSeq, done));
+    }
+
+    private void replaceReservation(long reserved, long tokens) {
+        reservedTokens -= reserved;
+        demandTokens = Math.max(0, demandTokens - (reserved - tokens));
+    }
+
+    /** Returns the number of the next bill that is committed by a journal. */
+    long openKeyedBill() {
+        lastKeyedSeq++;
+        return lastKeyedSeq;
+    }
+
+    /** Says what became of a keyed bill: its tokens if a journal committed it, 0 if it is void. */
+    void resolveKeyedBill(long keyedSeq, long reserved, long tokens) {
+        replaceReservation(reserved, tokens);
+        committedKeyedTokens += tokens;
+        resolvedOutOfOrder.put(keyedSeq, tokens);
+        boolean advanced = false;
+        while (resolvedOutOfOrder.containsKey(resolvedKeyedSeq + 1)) {
+            resolvedKeyedSeq++;
+            resolvedKeyedTokens += resolvedOutOfOrder.remove(resolvedKeyedSeq);
+            advanced = true;
+        }
+        if (advanced) {
+            settleSeq++;
+        }
+    }
+
+    Ledger.Settlement settlement() {
+        return new Ledger.Settlement(shareId, settleSeq, spentTokens, resolvedKeyedSeq, resolvedKeyedTokens);
+    }
+
+    /** Returns whether every bill is in the ledger and none is open. */
+    boolean settled() {
+        return committedSettleSeq == settleSeq && resolvedKeyedSeq == lastKeyedSeq && reservedTokens == 0;
+    }
+
+    /** Starts again under a new id after the ledger closed the share; reservations in progress are void. */
+    List<PendingBill> restart(String newShareId) {
+        List<PendingBill> lost = new ArrayList<>(bills);
+        bills.clear();
+        holders.clear();
+        resolvedOutOfOrder.clear();
+        shareId = newShareId;
+        grantedTokens = 0;
+        spentTokens = 0;
+        reservedTokens = 0;
+        requestSeq = 0;
+        settleSeq = 0;
+        committedSettleSeq = 0;
+        heldSettleSeq = 0;
+        lastKeyedSeq = 0;
+        resolvedKeyedSeq = 0;
+        resolvedKeyedTokens = 0;
+        committedKeyedTokens = 0;
+        requestInFlight = false;
+        settleInFlight = false;
+        return lost;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -0,0 +1,46 @@
+package org.radishspan.budget;
+
+/**
+ * The knobs of how much of a budget a router holds.
+ *
+ * @param horizonMillis a share covers the demand of this long without the platform
+ * @param freeFraction one grant takes at most this part of the free tokens
+ * @param minimumGrantTokens the least that is asked for beyond the need of the moment
+ * @param waitMillis how long a request waits for tokens before it is refused
+ * @param retryMillis the time between two requests to the ledger for one share
+ * @param handoverAfterMillis a bill that the ledger has not taken for so long is handed to a holder
+ * @param holderCount how many routers may hold unposted bills of a share
+ */
+public record SharePolicy(
+        long horizonMillis,
+        double freeFraction,
+        long minimumGrantTokens,
+        long waitMillis,
+        long retryMillis,
+        long handoverAfterMillis,
+        int holderCount) {
+    /** The setting for ordinary days. */
+    public static final SharePolicy DEFAULT = new SharePolicy(600_000, 0.125, 256, 2_000, 100, 500, 2);
+
+    /** Checks the fields. */
+    public SharePolicy {
+        if (horizonMillis <= 0) {
+            throw new IllegalArgumentException("horizonMillis must be positive: " + horizonMillis);
+        }
+        if (freeFraction <= 0 || freeFraction > 1) {
+            throw new IllegalArgumentException("freeFraction must be above 0 and at most 1: " + freeFraction);
+        }
+    }
+
+    /** Returns this policy with another horizon. */
+    public SharePolicy withHorizonMillis(long millis) {
+        return new SharePolicy(
+                millis, freeFraction, minimumGrantTokens, waitMillis, retryMillis, handoverAfterMillis, holderCount);
+    }
+
+    /** Returns this policy with another fraction of the free tokens a grant. */
+    public SharePolicy withFreeFraction(double fraction) {
+        return new SharePolicy(
+                horizonMillis, fraction, minimumGrantTokens, waitMillis, retryMillis, handoverAfterMillis, holderCount);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -0,0 +1,439 @@
+package org.radishspan.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.proto.AccountState;
+import org.radishspan.proto.LedgerState;
+import org.radishspan.proto.ShareState;
+
+/**
+ * Takes, spends, settles and gives back shares of budgets.
+ *
+ * <p>Safety rests on the ledger alone: tokens are spent only from a grant that is known to be committed, and counted as
+ * given back before the ledger is asked to take them. What this class decides is how much to hold, when to ask, and when
+ * a request has waited long enough.
+ */
+public final class ShareSystem {
+
+    /** Tells peers that a share is short of tokens. */
+    @FunctionalInterface
+    public interface ShortageNotice {
+        /** Announces that {@code tokens} more are wanted for the share. */
+        void announce(String budget, String shareId, long tokens);
+    }
+
+    /** Hands the running totals of a share to one of its holders. */
+    @FunctionalInterface
+    public interface BillHandover {
+        /** Sends the totals; the consumer is told whether the holder keeps them. */
+        void send(String holder, String budget, Ledger.Settlement settlement, Consumer<Boolean> accepted);
+    }
+
+    /** Chooses the routers that may hold unposted bills, best first. */
+    @FunctionalInterface
+    public interface HolderChoice {
+        /** Returns up to {@code count} router processes, none of them this one. */
+        List<String> choose(int count);
+    }
+
+    /**
+     * Who this router is.
+     *
+     * @param vm the VM's name
+     * @param incarnation the id of this process, new with each start
+     */
+    public record Identity(String vm, String incarnation) {}
+
+    private static final long RATE_PERIOD_MILLIS = 1_000;
+    private static final double RATE_SMOOTHING = 0.2;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double LOW_WATER_FRACTION = 0.5;
+    private static final double EXCESS_FACTOR = 2.0;
+    private static final long HANDOVER_RETRY_MILLIS = 200;
+
+    private final Identity identity;
+    private final LedgerPartitions ledgers;
+    private final ShareTable table = new ShareTable();
+    private final ShortageNotice shortage;
+    private final BillHandover handover;
+    private final HolderChoice holderChoice;
+    private final ShareCounters counters = new ShareCounters();
+    private SharePolicy policy;
+    private long shareCount;
+    private long rateAtMillis;
+    private long nowMillis;
+
+    /** Creates the system. */
+    public ShareSystem(
+            Identity identity,
+            LedgerPartitions ledgers,
+            SharePolicy policy,
+            ShortageNotice shortage,
+            BillHandover handover,
+            HolderChoice holderChoice) {
+        this.identity = identity;
+        this.ledgers = ledgers;
+        this.policy = policy;
+        this.shortage = shortage;
+        this.handover = handover;
+        this.holderChoice = holderChoice;
+    }
+
+    /** Returns the shares. */
+    public ShareTable table() {
+        return table;
+    }
+
+    /** Returns the counts. */
+    public ShareCounters counters() {
+        return counters;
+    }
+
+    /** Puts another policy in force. */
+    public void usePolicy(SharePolicy newPolicy) {
+        policy = newPolicy;
+    }
+
+    /** Returns the policy in force. */
+    public SharePolicy policy() {
+        return policy;
+    }
+
+    /** Reserves tokens now or as soon as the share has them; refused when none came in time. */
+    public void reserve(String budget, long tokens, Consumer<Either<Failure, Reservation>> done) {
+        Share share = table.getOrCreate(budget, this::newShare);
+        if (share.waiters.isEmpty() && share.tryReserve(tokens)) {
+            done.accept(Either.right(new Reservation(budget, share.shareId, tokens)));
+            return;
+        }
+        share.waiters.add(new Share.Waiter(
+                tokens,
+                nowMillis + policy.waitMillis(),
+                result -> done.accept(result.map(ok -> new Reservation(budget, share.shareId, tokens)))));
+    }
+
+    /** Frees a reservation of a request that is not billed. */
+    public void cancel(Reservation reservation) {
+        current(reservation).ifPresent(share -> share.cancelReservation(reservation.tokens()));
+    }
+
+    /** Bills a request; the consumer is told once the bill is safe, or why it never will be. */
+    public void bill(Reservation reservation, long tokens, Consumer<Either<Failure, Void>> done) {
+        Optional<Share> share = current(reservation);
+        if (share.isEmpty()) {
+            done.accept(Either.left(shareLost(reservation.shareId())));
+            return;
+        }
+        share.get().bill(reservation.tokens(), Math.min(tokens, reservation.tokens()), done);
+    }
+
+    /** Opens a bill that a journal will commit; empty if the share is lost. */
+    public Optional<Long> openKeyedBill(Reservation reservation) {
+        return current(reservation).map(Share::openKeyedBill);
+    }
+
+    /** Closes a bill opened by {@link #openKeyedBill}: with its tokens if the journal has it, else with 0. */
+    public void resolveKeyedBill(Reservation reservation, long keyedSeq, long tokens) {
+        current(reservation).ifPresent(share -> share.resolveKeyedBill(keyedSeq, reservation.tokens(), tokens));
+    }
+
+    private Optional<Share> current(Reservation reservation) {
+        Share share = table.get(reservation.budget());
+        if (share == null || !share.shareId.equals(reservation.shareId())) {
+            return Optional.empty();
+        }
+        return Optional.of(share);
+    }
+
+    private Share newShare(String budget) {
+        return new Share(budget, ledgers.partitionOf(budget), nextShareId());
+    }
+
+    private String nextShareId() {
+        shareCount++;
+        return identity.incarnation() + "." + shareCount;
+    }
+
+    /** Runs over all shares. */
+    public void tick(long tickMillis) {
+        nowMillis = tickMillis;
+        boolean measure = tickMillis - rateAtMillis >= RATE_PERIOD_MILLIS;
+        for (Share share : table.rows()) {
+            if (measure) {
+                measureDemand(share, tickMillis - rateAtMillis);
+            }
+            serveWaiters(share);
+            settle(share);
+            handOver(share);
+            adjust(share);
+        }
+        if (measure) {
+            rateAtMillis = tickMillis;
+        }
+    }
+
+    private void measureDemand(Share share, long elapsedMillis) {
+        if (elapsedMillis > RATE_PERIOD_MILLIS * 2) {
+            share.demandTokens = 0;
+            return;
+        }
+        double rate = share.demandTokens * MILLIS_PER_SECOND / elapsedMillis;
+        share.demandTokensPerSecond += RATE_SMOOTHING * (rate - share.demandTokensPerSecond);
+        share.demandTokens = 0;
+    }
+
+    private void serveWaiters(Share share) {
+        while (!share.waiters.isEmpty()) {
+            Share.Waiter waiter = share.waiters.peek();
+            if (share.tryReserve(waiter.tokens())) {
+                share.waiters.remove();
+                waiter.done().accept(Either.right(null));
+                continue;
+            }
+            if (nowMillis < waiter.deadlineMillis() && share.lastFailure == null) {
+                return;
+            }
+            share.waiters.remove();
+            counters.refused++;
+            waiter.done().accept(Either.left(refusal(share)));
+        }
+        share.lastFailure = null;
+    }
+
+    private Failure refusal(Share share) {
+        if (share.lastFailure != null) {
+            return share.lastFailure;
+        }
+        if (share.exhausted) {
+            return Failure.notRun(ErrorKind.BUDGET_EXHAUSTED, "budget " + share.budget + " has too few unspent tokens")
+                    .retryAfter(policy.waitMillis());
+        }
+        return Failure.notRun(
+                        ErrorKind.PLATFORM_UNAVAILABLE,
+                        "the share of budget " + share.budget + " is used up and the ledger does not answer")
+                .retryAfter(policy.waitMillis());
+    }
+
+    private long targetTokens(Share share) {
+        double demand = share.demandTokensPerSecond * policy.horizonMillis() / MILLIS_PER_SECOND;
+        return (long) demand + policy.minimumGrantTokens();
+    }
+
+    private void adjust(Share share) {
+        if (share.requestInFlight || nowMillis < share.nextRequestAtMillis) {
+            return;
+        }
+        long waiting = waitingTokens(share);
+        long available = share.availableTokens();
+        long target = targetTokens(share);
+        if (waiting > available) {
+            requestGrant(share, waiting - available + target, shortestNeed(share) - available);
+            return;
+        }
+        if (available < target * LOW_WATER_FRACTION && share.demandTokensPerSecond >= 1) {
+            requestGrant(share, target - available, 0);
+            return;
+        }
+        if (available > target * EXCESS_FACTOR) {
+            giveBack(share, available - target);
+        }
+    }
+
+    private static long waitingTokens(Share share) {
+        long total = 0;
+        for (Share.Waiter waiter : share.waiters) {
+            total += waiter.tokens();
+        }
+        return total;
+    }
+
+    private static long shortestNeed(Share share) {
+        Share.Waiter first = share.waiters.peek();
+        return first == null ? 0 : first.tokens();
+    }
+
+    private void requestGrant(Share share, long tokens, long minimumTokens) {
+        share.requestInFlight = true;
+        share.requestSeq++;
+        share.nextRequestAtMillis = nowMillis + policy.retryMillis();
+        String askedFor = share.shareId;
+        List<String> holders = holdersToRecord(share);
+        Ledger.GrantRequest request = new Ledger.GrantRequest(
+                askedFor, identity.incarnation(), identity.vm(), share.requestSeq, tokens, minimumTokens, holders);
+        counters.grantRequests++;
+        ledgers.get(share.partition)
+                .submit(
+                        Ledger.grant(share.budget, request, GrantRule.fairPart(policy.freeFraction())),
+                        result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
+    }
+
+    private List<String> holdersToRecord(Share share) {
+        if (share.heldSettleSeq > share.committedSettleSeq) {
+            return new ArrayList<>(share.holders);
+        }
+        List<String> chosen = holderChoice.choose(policy.holderCount());
+        // A holder that the ledger is about to forget may not vouch for a bill any more.
+        share.holders.retainAll(chosen);
+        return chosen;
+    }
+
+    private void onRequestDone(
+            Share share,
+            String askedFor,
+            long minimumTokens,
+            List<String> holders,
+            Either<Failure, LedgerState> result) {
+        if (!share.shareId.equals(askedFor)) {
+            return;
+        }
+        share.requestInFlight = false;
+        if (result.isLeft()) {
+            onRefused(share, result.getLeft());
+            return;
+        }
+        Optional<ShareState> row = Ledger.share(result.get(), share.budget, askedFor);
+        if (row.isEmpty()) {
+            lose(share);
+            return;
+        }
+        share.grantedTokens = row.get().getGrantedTokens();
+        share.holders.clear();
+        share.holders.addAll(holders);
+        AccountState account = result.get().getAccountsOrThrow(share.budget);
+        share.exhausted = row.get().getWantedTokens() > 0;
+        if (share.exhausted) {
+            counters.shortages++;
+            shortage.announce(share.budget, askedFor, minimumTokens);
+        }
+        counters.lastFreeTokens = Ledger.freeTokens(account);
+        serveWaiters(share);
+    }
+
+    private void onRefused(Share share, Failure failure) {
+        if (failure.kind() == ErrorKind.SHARE_LOST) {
+            lose(share);
+            return;
+        }
+        share.lastFailure = Failure.notRun(failure.kind(), failure.message());
+    }
+
+    private void lose(Share share) {
+        counters.sharesLost++;
+        String lostId = share.shareId;
+        for (Share.PendingBill bill : share.restart(nextShareId())) {
+            bill.done().accept(Either.left(shareLost(lostId)));
+        }
+    }
+
+    private static Failure shareLost(String shareId) {
+        return Failure.ran(ErrorKind.SHARE_LOST, "share " + shareId + " was closed before the bill was committed");
+    }
+
+    private void giveBack(Share share, long tokens) {
+        share.requestInFlight = true;
+        share.requestSeq++;
+        share.grantedTokens -= tokens;
+        share.nextRequestAtMillis = nowMillis + policy.retryMillis();
+        String askedFor = share.shareId;
+        counters.giveBacks++;
+        ledgers.get(share.partition)
+                .submit(
+                        Ledger.giveBack(share.budget, askedFor, share.requestSeq, tokens),
+                        result -> onRequestDone(share, askedFor, 0, new ArrayList<>(share.holders), result));
+    }
+
+    /** Gives excess back because another router is short of tokens of the same budget. */
+    public void onShortage(String budget, long tokens) {
+        Share share = table.get(budget);
+        if (share == null || share.requestInFlight) {
+            return;
+        }
+        long spare = share.availableTokens() - waitingTokens(share);
+        if (spare <= 0) {
+            return;
+        }
+        long half = Math.max(spare / 2, Math.min(spare, tokens));
+        giveBack(share, half);
+    }
+
+    private void settle(Share share) {
+        if (share.settleInFlight || share.committedSettleSeq == share.settleSeq) {
+            return;
+        }
+        share.settleInFlight = true;
+        share.settleSubmittedAtMillis = nowMillis;
+        Ledger.Settlement settlement = share.settlement();
+        ledgers.get(share.partition)
+                .submit(Ledger.settle(share.budget, settlement), result -> onSettled(share, settlement, result));
+    }
+
+    private void onSettled(Share share, Ledger.Settlement settlement, Either<Failure, LedgerState> result) {
+        if (!share.shareId.equals(settlement.shareId())) {
+            return;
+        }
+        share.settleInFlight = false;
+        if (result.isLeft()) {
+            lose(share);
+            return;
+        }
+        share.committedSettleSeq = Math.max(share.committedSettleSeq, settlement.settleSeq());
+        releaseBills(share, settlement.settleSeq());
+    }
+
+    private static void releaseBills(Share share, long settleSeq) {
+        while (!share.bills.isEmpty() && share.bills.peek().settleSeq() <= settleSeq) {
+            share.bills.remove().done().accept(Either.right(null));
+        }
+    }
+
+    private void handOver(Share share) {
+        boolean late = share.settleInFlight
+                && nowMillis - share.settleSubmittedAtMillis >= policy.handoverAfterMillis()
+                && nowMillis >= share.nextHandoverAtMillis;
+        if (!late || share.bills.isEmpty()) {
+            return;
+        }
+        share.nextHandoverAtMillis = nowMillis + HANDOVER_RETRY_MILLIS;
+        Ledger.Settlement settlement = share.settlement();
+        for (String holder : List.copyOf(share.holders)) {
+            counters.handovers++;
+            handover.send(holder, share.budget, settlement, accepted -> onHeld(share, holder, settlement, accepted));
+        }
+    }
+
+    private void onHeld(Share share, String holder, Ledger.Settlement settlement, boolean accepted) {
+        boolean current = share.shareId.equals(settlement.shareId()) && share.holders.contains(holder);
+        if (!accepted || !current) {
+            return;
+        }
+        share.heldSettleSeq = Math.max(share.heldSettleSeq, settlement.settleSeq());
+        releaseBills(share, settlement.settleSeq());
+    }
+
+    /** Gives every share back whole; to be called again until {@link #retired}. */
+    public void retire() {
+        for (Share share : List.copyOf(table.rows())) {
+            if (!share.settled() || share.requestInFlight || share.settleInFlight) {
+                continue;
+            }
+            if (share.requestSeq == 0) {
+                table.remove(share);
+                continue;
+            }
+            share.requestInFlight = true;
+            ledgers.get(share.partition)
+                    .submit(Ledger.retire(share.budget, share.settlement()), result -> table.remove(share));
+        }
+    }
+
+    /** Returns whether no share is left. */
+    public boolean retired() {
+        return table.rows().isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/cli/Commands.java
@@ -0,0 +1,325 @@
+package org.radishspan.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.radishspan.demo.Demo;
+import org.radishspan.http.Json;
+import org.radishspan.router.RouterProcess;
+import org.radishspan.router.RouterSettings;
+import org.radishspan.router.RouterSettingsReader;
+import org.radishspan.settings.SettingFault;
+import org.radishspan.settings.SettingsReader;
+import org.radishspan.standin.EngineStandIn;
+import org.radishspan.standin.PlatformStandIn;
+import org.radishspan.standin.ServiceStandIn;
+import org.radishspan.standin.TargetSettings;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** The subcommands. */
+final class Commands {
+
+    private Commands() {}
+
+    static List<Command> all() {
+        return List.of(
+                new Command("router", "--config FILE", "run a router on this VM", config(), Commands::router),
+                new Command("status", "", "show what a router sees", operator(), Commands::status),
+                new Command(
+                        "workspace",
+                        "create NAME --budget BUDGET",
+                        "create workspaces",
+                        workspaceOptions(),
+                        Commands::workspace),
+                new Command(
+                        "budget",
+                        "create|topup|limit NAME TOKENS | show NAME | release NAME SHARE",
+                        "create, top up and show budgets",
+                        budgetOptions(),
+                        Commands::budget),
+                new Command(
+                        "preset",
+                        "put NAME | use NAME | show",
+                        "put presets in force",
+                        presetOptions(),
+                        Commands::preset),
+                new Command("audit", "", "print who changed what", operator(), Commands::audit),
+                new Command(
+                        "stand-in",
+                        "platform|engine|service --config FILE",
+                        "run a small stand-in for trials",
+                        config(),
+                        Commands::standIn),
+                new Command("demo", "", "run a whole fleet on loopback ports", demoOptions(), Commands::demo));
+    }
+
+    private static Option option(String name, String argument, String description) {
+        return Option.builder()
+                .longOpt(name)
+                .hasArg()
+                .argName(argument)
+                .desc(description)
+                .get();
+    }
+
+    private static Option flag(String name, String description) {
+        return Option.builder().longOpt(name).desc(description).get();
+    }
+
+    private static Options config() {
+        return new Options().addOption(option("config", "FILE", "the settings, in INI; needed"));
+    }
+
+    private static Options operator() {
+        return new Options()
+                .addOption(option("router", "HOST:PORT", "a router's operator port (default 127.0.0.1:7002)"))
+                .addOption(option("key", "KEY", "the operator key (default: the variable RADISHSPAN_KEY)"))
+                .addOption(option("output", "text|json", "the form of the answer (default text)"));
+    }
+
+    private static Options change() {
+        return operator()
+                .addOption(option("actor", "NAME", "who changes this, for the audit trail (default operator)"))
+                .addOption(
+                        option("operation-id", "ID", "repeat a command under the same id and it is carried out once"));
+    }
+
+    private static Options configurationChange() {
+        return change().addOption(
+                        option("expect-revision", "N", "refuse the change if the configuration has another revision"));
+    }
+
+    private static Options workspaceOptions() {
+        return configurationChange()
+                .addOption(option("budget", "BUDGET", "the budget that pays; needed"))
+                .addOption(option("class", "urgent|batch", "the class of its calls (default urgent)"));
+    }
+
+    private static Options budgetOptions() {
+        return change().addOption(option(
+                "reclaim",
+                "fenced|operator",
+                "whether the rest of a dead router's share comes back by itself (default fenced)"));
+    }
+
+    private static Options presetOptions() {
+        return configurationChange()
+                .addOption(option("share-horizon-millis", "MILLIS", "the demand that a router's share covers"))
+                .addOption(option("urgent-headroom", "FRACTION", "the part of the capacity kept for urgent calls"))
+                .addOption(option("batch-queue-limit", "N", "the most batch calls that wait"))
+                .addOption(option("batch-max-wait-millis", "MILLIS", "the longest that a batch call waits"));
+    }
+
+    private static Options demoOptions() {
+        return new Options().addOption(flag("check", "send a few calls, check bills and balances, and exit"));
+    }
+
+    private static String readConfig(CommandLine line) throws Command.UsageException {
+        String file = line.getOptionValue("config");
+        if (file == null) {
+            throw new Command.UsageException("--config FILE is missing");
+        }
+        try {
+            return Files.readString(Path.of(file), UTF_8);
+        } catch (IOException e) {
+            throw new Command.UsageException("cannot read " + file + ": " + e.getMessage());
+        }
+    }
+
+    private static <T> T valid(Either<List<SettingFault>, T> settings) throws Command.UsageException {
+        if (settings.isLeft()) {
+            StringBuilder message = new StringBuilder("the settings have faults:");
+            settings.getLeft().forEach(fault -> message.append("\n  ").append(fault));
+            throw new Command.UsageException(message.toString());
+        }
+        return settings.get();
+    }
+
+    private static int router(CommandLine line, PrintWriter out) throws Command.UsageException {
+        RouterSettings settings = valid(RouterSettingsReader.read(readConfig(line)));
+        RouterProcess process = RouterProcess.start(settings);
+        Thread hook = new Thread(() -> process.stop().join());
+        Runtime.getRuntime().addShutdownHook(hook);
+        out.println("callers: " + process.callerPort() + "  operators: " + process.operatorPort() + "  peers: "
+                + process.peerPort());
+        return process.ended().join();
+    }
+
+    private static int status(CommandLine line, PrintWriter out) throws Command.UsageException {
+        return new OperatorClient(line, out).get("/status");
+    }
+
+    private static int audit(CommandLine line, PrintWriter out) throws Command.UsageException {
+        return new OperatorClient(line, out).get("/audit");
+    }
+
+    private static String argument(CommandLine line, int index, String what) throws Command.UsageException {
+        List<String> arguments = line.getArgList();
+        if (arguments.size() <= index) {
+            throw new Command.UsageException(what + " is missing");
+        }
+        return arguments.get(index);
+    }
+
+    private static long tokens(CommandLine line, int index) throws Command.UsageException {
+        String text = argument(line, index, "TOKENS");
+        try {
+            return Long.parseLong(text.replace("_", ""));
+        } catch (NumberFormatException e) {
+            throw new Command.UsageException("TOKENS must be a whole number, not " + text);
+        }
+    }
+
+    private static ObjectNode changeBody(CommandLine line, String name) throws Command.UsageException {
+        ObjectNode body = Json.object();
+        body.put("name", name);
+        body.put("actor", line.getOptionValue("actor", "operator"));
+        body.put(
+                "operation_id",
+                line.getOptionValue("operation-id", UUID.randomUUID().toString()));
+        if (line.hasOption("expect-revision")) {
+            Long expected = number(line, "expect-revision", Long::parseLong);
+            body.put("expect_revision", expected);
+        }
+        return body;
+    }
+
+    private static <T> T number(CommandLine line, String option, Function<String, T> parse)
+            throws Command.UsageException {
+        String text = line.getOptionValue(option);
+        try {
+            return parse.apply(text);
+        } catch (NumberFormatException e) {
+            throw new Command.UsageException("--" + option + " must be a number, not " + text);
+        }
+    }
+
+    private static int workspace(CommandLine line, PrintWriter out) throws Command.UsageException {
+        requireAction(argument(line, 0, "an action"), List.of("create"));
+        ObjectNode body = changeBody(line, argument(line, 1, "NAME"));
+        if (!line.hasOption("budget")) {
+            throw new Command.UsageException("--budget BUDGET is missing");
+        }
+        body.put("budget", line.getOptionValue("budget"));
+        body.put("class", line.getOptionValue("class", "urgent"));
+        return new OperatorClient(line, out).post("/workspaces", body);
+    }
+
+    private static void requireAction(String action, List<String> allowed) throws Command.UsageException {
+        if (!allowed.contains(action)) {
+            throw new Command.UsageException("no such action: " + action + "; there are " + String.join(", ", allowed));
+        }
+    }
+
+    private static int budget(CommandLine line, PrintWriter out) throws Command.UsageException {
+        String action = argument(line, 0, "an action");
+        requireAction(action, List.of("create", "topup", "limit", "show", "release"));
+        String name = argument(line, 1, "NAME");
+        OperatorClient client = new OperatorClient(line, out);
+        if (action.equals("show")) {
+            return client.get("/budgets?name=" + name);
+        }
+        ObjectNode body = changeBody(line, name);
+        if (action.equals("release")) {
+            body.put("share", argument(line, 2, "SHARE"));
+            return client.post("/budgets/release", body);
+        }
+        body.put("tokens", tokens(line, 2));
+        body.put("reclaim", line.getOptionValue("reclaim", "fenced"));
+        return client.post(action.equals("create") ? "/budgets" : "/budgets/" + action, body);
+    }
+
+    private static int preset(CommandLine line, PrintWriter out) throws Command.UsageException {
+        String action = argument(line, 0, "an action");
+        requireAction(action, List.of("put", "use", "show"));
+        OperatorClient client = new OperatorClient(line, out);
+        if (action.equals("show")) {
+            return client.get("/presets");
+        }
+        ObjectNode body = changeBody(line, argument(line, 1, "NAME"));
+        if (action.equals("use")) {
+            return client.post("/presets/in-force", body);
+        }
+        putNumber(line, body, "share-horizon-millis");
+        putNumber(line, body, "batch-queue-limit");
+        putNumber(line, body, "batch-max-wait-millis");
+        if (line.hasOption("urgent-headroom")) {
+            Double headroom = number(line, "urgent-headroom", Double::parseDouble);
+            body.put("urgent_headroom", headroom);
+        }
+        return client.post("/presets", body);
+    }
+
+    private static void putNumber(CommandLine line, ObjectNode body, String option) throws Command.UsageException {
+        if (line.hasOption(option)) {
+            Long value = number(line, option, Long::parseLong);
+            body.put(option.replace('-', '_'), value);
+        }
+    }
+
+    private static int standIn(CommandLine line, PrintWriter out) throws Command.UsageException {
+        String kind = argument(line, 0, "platform, engine or service");
+        requireAction(kind, List.of("platform", "engine", "service"));
+        SettingsReader reader = SettingsReader.parse(readConfig(line));
+        int port = kind.equals("platform") ? startPlatform(reader) : startTarget(kind, reader);
+        out.println(kind + ": " + port);
+        return waitForever();
+    }
+
+    private static int startPlatform(SettingsReader reader) throws Command.UsageException {
+        String host = reader.text("listen", "host", "127.0.0.1");
+        int port = reader.port("listen", "port");
+        return valid(reader.finish(() -> new PlatformStandIn(host, port).port()));
+    }
+
+    private static int startTarget(String kind, SettingsReader reader) throws Command.UsageException {
+        Set<String> serves =
+                new LinkedHashSet<>(List.of(reader.text("target", "serves").split("\\s+")));
+        TargetSettings settings = new TargetSettings(
+                reader.text("target", "name"),
+                reader.text("listen", "host", "127.0.0.1"),
+                reader.port("listen", "port"),
+                reader.text("target", "failure_domain"),
+                serves,
+                reader.wholeNumber("target", "token_millis", 10, 0, 60_000),
+                reader.text("platform", "host"),
+                reader.port("platform", "port"));
+        return valid(reader.finish(() ->
+                kind.equals("engine") ? new EngineStandIn(settings).port() : new ServiceStandIn(settings).port()));
+    }
+
+    private static int waitForever() {
+        try {
+            Thread.currentThread().join();
+            return ExitCode.OK;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitCode.OK;
+        }
+    }
+
+    private static int demo(CommandLine line, PrintWriter out) {
+        Demo demo = Demo.start(out);
+        if (line.hasOption("check")) {
+            boolean passed = demo.check();
+            demo.stop();
+            return passed ? ExitCode.OK : ExitCode.CHECK_FAILED;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(demo::stop));
+        demo.printTrial();
+        return waitForever();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/config/CallerKey.java
@@ -0,0 +1,33 @@
+package org.radishspan.config;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+
+import org.apache.commons.codec.digest.DigestUtils;
+import org.radishspan.proto.WorkspaceState;
+
+/** Keys of callers, stored as salted hashes and compared in constant time. */
+public final class CallerKey {
+    private CallerKey() {}
+
+    /** Returns the hash of a key as it is stored. */
+    public static String hash(String salt, String key) {
+        return DigestUtils.sha256Hex(salt + ":" + key);
+    }
+
+    /** Returns whether a key is the one that a workspace was created with. */
+    public static boolean matches(WorkspaceState workspace, String key) {
+        return sameText(hash(workspace.getKeySalt(), key), workspace.getKeyHash());
+    }
+
+    /** Compares two texts in a time that does not depend on where they differ. */
+    public static boolean sameText(String left, String right) {
+        return MessageDigest.isEqual(left.getBytes(StandardCharsets.UTF_8), right.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns a salt or key from random bytes. */
+    public static String fromBytes(byte[] bytes) {
+        return HexFormat.of().formatHex(bytes);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/config/ConfigurationSystem.java
@@ -0,0 +1,137 @@
+package org.radishspan.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.radishspan.error.Failure;
+import org.radishspan.platform.PlatformStore;
+import org.radishspan.platform.SharedObject;
+import org.radishspan.platform.StoredObject;
+import org.radishspan.proto.ConfigurationState;
+import org.radishspan.proto.PresetState;
+import org.radishspan.proto.WorkspaceState;
+
+/**
+ * Keeps the configuration in force on this router.
+ *
+ * <p>A revision below the one in force is never adopted, wherever it comes from: a watch that reconnects, a stale read or
+ * a peer.
+ */
+public final class ConfigurationSystem {
+    private static final long WATCH_RETRY_MILLIS = 500;
+
+    private final PlatformStore store;
+    private final SharedObject<ConfigurationState> object;
+    private final List<Consumer<ConfigurationState>> listeners = new ArrayList<>();
+    private ConfigurationState inForce = ConfigurationState.getDefaultInstance();
+    private long seenVersion;
+    private long confirmedAtMillis;
+    private long nextWatchAtMillis;
+    private boolean watching;
+    private long nowMillis;
+
+    /** Creates the system; the first tick starts to watch the configuration object. */
+    public ConfigurationSystem(PlatformStore store, SharedObject.Ports ports) {
+        this.store = store;
+        this.object = new SharedObject<>(Configuration.KEY, Configuration.CODEC, ports);
+    }
+
+    /** Returns the configuration in force. */
+    public ConfigurationState inForce() {
+        return inForce;
+    }
+
+    /** Returns when the platform last confirmed the revision in force. */
+    public long confirmedAtMillis() {
+        return confirmedAtMillis;
+    }
+
+    /** Returns the object that holds the configuration. */
+    public SharedObject<ConfigurationState> object() {
+        return object;
+    }
+
+    /** Calls a listener with each revision that comes into force. */
+    public void onChange(Consumer<ConfigurationState> listener) {
+        listeners.add(listener);
+    }
+
+    /** Submits a change; the consumer receives the configuration that holds it. */
+    public void submit(
+            SharedObject.Mutation<ConfigurationState> mutation, Consumer<Either<Failure, ConfigurationState>> done) {
+        object.submit(mutation, result -> {
+            result.peek(this::adopt);
+            done.accept(result);
+        });
+    }
+
+    /** Puts a configuration in force if its revision is above the present one. */
+    public boolean adopt(ConfigurationState candidate) {
+        if (candidate.getRevision() <= inForce.getRevision()) {
+            return false;
+        }
+        inForce = candidate;
+        for (Consumer<ConfigurationState> listener : listeners) {
+            listener.accept(candidate);
+        }
+        return true;
+    }
+
+    /** Returns the workspace that a caller's key belongs to. */
+    public Optional<WorkspaceState> workspaceOf(String callerKey) {
+        int dot = callerKey.indexOf('.');
+        if (dot <= 0) {
+            return Optional.empty();
+        }
+        WorkspaceState workspace = inForce.getWorkspacesMap().get(callerKey.substring(0, dot));
+        if (workspace == null || !CallerKey.matches(workspace, callerKey)) {
+            return Optional.empty();
+        }
+        return Optional.of(workspace);
+    }
+
+    /** Returns the preset in force. */
+    public Optional<PresetState> preset() {
+        return Optional.ofNullable(inForce.getPresetsMap().get(inForce.getPresetInForce()));
+    }
+
+    /** Reads the configuration because a peer has a later one. */
+    public void catchUp() {
+        object.refresh();
+    }
+
+    /** Keeps the watch going and sends submitted changes. */
+    public void tick(long tickMillis) {
+        nowMillis = tickMillis;
+        object.tick(tickMillis);
+        ConfigurationState read = object.state();
+        if (read != null) {
+            adopt(read);
+        }
+        if (!watching && tickMillis >= nextWatchAtMillis) {
+            watch();
+        }
+    }
+
+    private void watch() {
+        watching = true;
+        store.watch(Configuration.KEY, seenVersion, this::onWatch);
+    }
+
+    private void onWatch(Either<Failure, StoredObject> reply) {
+        watching = false;
+        if (reply.isLeft()) {
+            nextWatchAtMillis = nowMillis + WATCH_RETRY_MILLIS;
+            return;
+        }
+        StoredObject stored = reply.get();
+        confirmedAtMillis = nowMillis;
+        if (stored.version() > seenVersion) {
+            seenVersion = stored.version();
+            adopt(Configuration.CODEC.decode().apply(stored.value()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/http/ErrorAnswer.java
@@ -0,0 +1,34 @@
+package org.radishspan.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.radishspan.error.Failure;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** The JSON form of a failure. */
+public final class ErrorAnswer {
+    private ErrorAnswer() {}
+
+    /** Returns {@code {"error": {kind, message, ran, retry_after_ms?}}}. */
+    public static ObjectNode json(Failure failure) {
+        ObjectNode error = Json.object();
+        error.put("kind", failure.kind().wireName());
+        error.put("message", failure.message());
+        error.put("ran", failure.ran().wireName());
+        if (failure.retryAfterMillis() > 0) {
+            error.put("retry_after_ms", failure.retryAfterMillis());
+        }
+        ObjectNode body = Json.object();
+        body.set("error", error);
+        return body;
+    }
+
+    /** Answers a call with a failure. */
+    public static void send(HttpCall call, Failure failure) {
+        call.respond(
+                failure.kind().httpStatus(),
+                Json.CONTENT_TYPE,
+                json(failure).toString().getBytes(UTF_8),
+                HttpServer.retryAfter(failure.retryAfterMillis()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/http/Json.java
@@ -0,0 +1,57 @@
+package org.radishspan.http;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Reading and making JSON. */
+public final class Json {
+    /** The media type of JSON. */
+    public static final String CONTENT_TYPE = "application/json";
+
+    private static final int MAX_NESTING = 64;
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    static {
+        MAPPER.getFactory()
+                .setStreamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(MAX_NESTING)
+                        .build());
+    }
+
+    private Json() {}
+
+    /** Returns an empty object. */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /** Returns an empty array. */
+    public static ArrayNode array() {
+        return MAPPER.createArrayNode();
+    }
+
+    /** Reads an object; empty if the bytes are not one JSON object. */
+    public static Optional<ObjectNode> parseObject(byte[] bytes) {
+        try {
+            JsonNode node = MAPPER.readTree(bytes);
+            return node instanceof ObjectNode object ? Optional.of(object) : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns indented text. */
+    public static String pretty(JsonNode node) {
+        return node.toPrettyString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/log/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * JSON lines logging.
+ */
+@NullMarked
+package org.radishspan.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/radishspan/peer/Peer.java
@@ -0,0 +1,63 @@
+package org.radishspan.peer;
+
+/** One row of the {@link PeerSystem}: another router. */
+public final class Peer {
+    final String vm;
+    String host;
+    int port;
+    String failureDomain;
+    String incarnation = "";
+    boolean listed = true;
+    boolean draining;
+    long lastHeardMillis;
+    long unlistedAtMillis;
+    long configRevision;
+    int requestsInFlight;
+
+    Peer(String vm, String host, int port, String failureDomain) {
+        this.vm = vm;
+        this.host = host;
+        this.port = port;
+        this.failureDomain = failureDomain;
+    }
+
+    /** Returns the VM's name. */
+    public String vm() {
+        return vm;
+    }
+
+    /** Returns the address. */
+    public String host() {
+        return host;
+    }
+
+    /** Returns the port for peers. */
+    public int port() {
+        return port;
+    }
+
+    /** Returns the failure domain. */
+    public String failureDomain() {
+        return failureDomain;
+    }
+
+    /** Returns the router process last heard of; empty before its first message. */
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /** Returns when the peer was last heard. */
+    public long lastHeardMillis() {
+        return lastHeardMillis;
+    }
+
+    /** Returns the configuration revision that the peer reported. */
+    public long configRevision() {
+        return configRevision;
+    }
+
+    /** Returns the requests in progress that the peer reported. */
+    public int requestsInFlight() {
+        return requestsInFlight;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -0,0 +1,304 @@
+package org.radishspan.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+
+import org.agrona.collections.Object2ObjectHashMap;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.jspecify.annotations.Nullable;
+import org.radishspan.budget.Ledger;
+import org.radishspan.proto.BillHandover;
+import org.radishspan.proto.BillHandoverReply;
+import org.radishspan.proto.Hello;
+import org.radishspan.proto.LoadReport;
+import org.radishspan.proto.PeerMessage;
+import org.radishspan.proto.ShareWanted;
+import org.radishspan.routing.TargetTable.ListedVm;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** Keeps the table of other routers, tells them of this one, and passes on what they say. */
+public final class PeerSystem {
+
+    /**
+     * Who this router is.
+     *
+     * @param vm the VM's name
+     * @param incarnation this process
+     * @param failureDomain where it runs
+     */
+    public record Self(String vm, String incarnation, String failureDomain) {}
+
+    /** What peers ask of this router. */
+    public interface Handlers {
+        /** Keeps the running totals of a peer's share; returns whether they are kept. */
+        boolean keepBill(String budget, Ledger.Settlement settlement);
+
+        /** Gives excess tokens of a budget back. */
+        void onShortage(String budget, long tokens);
+
+        /** Hears that a peer has a configuration revision. */
+        void onRevision(long revision);
+
+        /** Hears that a router process has come to its end. */
+        void onProcessGone(String incarnation);
+
+        /** Hears that a router process is alive. */
+        void onProcessAlive(String incarnation);
+    }
+
+    private static final long REPORT_MILLIS = 500;
+    private static final long GONE_AFTER_UNLISTED_MILLIS = 3_000;
+    private static final long MAX_PENDING_HANDOVERS = 10_000;
+    private static final long SILENT_MILLIS = 2_000;
+
+    private final Self self;
+    private final PeerLink link;
+    private final Handlers handlers;
+    private final LongSupplier configRevision;
+    private final IntSupplier requestsInFlight;
+    private final Object2ObjectHashMap<String, Peer> rows = new Object2ObjectHashMap<>();
+    private final Map<Long, Consumer<Boolean>> pendingHandovers = new LinkedHashMap<>();
+    private long handoverCount;
+    private long nextReportAtMillis;
+    private long nowMillis;
+    private boolean draining;
+
+    /** Creates the system. */
+    public PeerSystem(
+            Self self, PeerLink link, Handlers handlers, LongSupplier configRevision, IntSupplier requestsInFlight) {
+        this.self = self;
+        this.link = link;
+        this.handlers = handlers;
+        this.configRevision = configRevision;
+        this.requestsInFlight = requestsInFlight;
+    }
+
+    /** Returns the peers. */
+    public Collection<Peer> rows() {
+        return rows.values();
+    }
+
+    /** Tells peers from now on that this router is stopping. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Takes over the routers of the platform's list. */
+    public void replace(List<ListedVm> routers) {
+        Set<String> names = new HashSet<>();
+        for (ListedVm vm : routers) {
+            if (vm.name().equals(self.vm())) {
+                continue;
+            }
+            names.add(vm.name());
+            put(vm);
+        }
+        for (Peer peer : rows.values()) {
+            if (!names.contains(peer.vm) && peer.listed) {
+                peer.listed = false;
+                peer.unlistedAtMillis = nowMillis;
+            }
+        }
+    }
+
+    private void put(ListedVm vm) {
+        Peer peer = rows.get(vm.name());
+        if (peer == null) {
+            rows.put(vm.name(), new Peer(vm.name(), vm.host(), vm.port(), vm.failureDomain()));
+            return;
+        }
+        peer.host = vm.host();
+        peer.port = vm.port();
+        peer.failureDomain = vm.failureDomain();
+        peer.listed = true;
+    }
+
+    /** Returns the message that opens a connection. */
+    public PeerMessage hello(String secretProof) {
+        return PeerMessage.newBuilder()
+                .setHello(Hello.newBuilder()
+                        .setVm(self.vm())
+                        .setIncarnation(self.incarnation())
+                        .setFailureDomain(self.failureDomain())
+                        .setSecretProof(secretProof)
+                        .setDraining(draining))
+                .build();
+    }
+
+    /** Takes a message of a peer whose hello was accepted. */
+    public void onMessage(String vm, PeerMessage message) {
+        Peer peer = rows.get(vm);
+        if (peer == null) {
+            return;
+        }
+        peer.lastHeardMillis = nowMillis;
+        switch (message.getBodyCase()) {
+            case HELLO -> onHello(peer, message.getHello());
+            case LOAD -> onLoad(peer, message.getLoad());
+            case HANDOVER -> onHandover(peer, message.getHandover());
+            case HANDOVER_REPLY -> onHandoverReply(message.getHandoverReply());
+            case WANTED ->
+                handlers.onShortage(
+                        message.getWanted().getBudget(), message.getWanted().getTokens());
+            default -> {}
+        }
+    }
+
+    private void onHello(Peer peer, Hello hello) {
+        boolean restarted = !peer.incarnation.isEmpty() && !peer.incarnation.equals(hello.getIncarnation());
+        if (restarted) {
+            handlers.onProcessGone(peer.incarnation);
+        }
+        peer.incarnation = hello.getIncarnation();
+        peer.failureDomain = hello.getFailureDomain();
+        peer.draining = hello.getDraining();
+        handlers.onProcessAlive(peer.incarnation);
+    }
+
+    private void onLoad(Peer peer, LoadReport load) {
+        peer.configRevision = load.getConfigRevision();
+        peer.requestsInFlight = load.getRequestsInFlight();
+        peer.draining = load.getDraining();
+        handlers.onRevision(load.getConfigRevision());
+    }
+
+    private void onHandover(Peer peer, BillHandover handover) {
+        Ledger.Settlement settlement = new Ledger.Settlement(
+                handover.getShareId(),
+                handover.getSettleSeq(),
+                handover.getSpentTokens(),
+                handover.getKeyedSeq(),
+                handover.getKeyedSpentTokens());
+        boolean kept = handlers.keepBill(handover.getBudget(), settlement);
+        send(
+                peer,
+                PeerMessage.newBuilder()
+                        .setHandoverReply(BillHandoverReply.newBuilder()
+                                .setHandoverId(handover.getHandoverId())
+                                .setAccepted(kept))
+                        .build());
+    }
+
+    private void onHandoverReply(BillHandoverReply reply) {
+        Consumer<Boolean> waiting = pendingHandovers.remove(reply.getHandoverId());
+        if (waiting != null) {
+            waiting.accept(reply.getAccepted());
+        }
+    }
+
+    /** Hands the running totals of a share to another router process. */
+    public void handOver(String holder, String budget, Ledger.Settlement settlement, Consumer<Boolean> accepted) {
+        Peer peer = byIncarnation(holder);
+        if (peer == null) {
+            accepted.accept(false);
+            return;
+        }
+        handoverCount++;
+        pendingHandovers.put(handoverCount, accepted);
+        pendingHandovers.remove(handoverCount - MAX_PENDING_HANDOVERS);
+        send(
+                peer,
+                PeerMessage.newBuilder()
+                        .setHandover(BillHandover.newBuilder()
+                                .setHandoverId(handoverCount)
+                                .setBudget(budget)
+                                .setShareId(settlement.shareId())
+                                .setSettleSeq(settlement.settleSeq())
+                                .setSpentTokens(settlement.spentTokens())
+                                .setKeyedSeq(settlement.keyedSeq())
+                                .setKeyedSpentTokens(settlement.keyedSpentTokens()))
+                        .build());
+    }
+
+    private @Nullable Peer byIncarnation(String incarnation) {
+        for (Peer peer : rows.values()) {
+            if (peer.incarnation.equals(incarnation)) {
+                return peer;
+            }
+        }
+        return null;
+    }
+
+    /** Tells every peer that a share of a budget is short of tokens. */
+    public void announceShortage(String budget, String shareId, long tokens) {
+        PeerMessage message = PeerMessage.newBuilder()
+                .setWanted(ShareWanted.newBuilder()
+                        .setBudget(budget)
+                        .setShareId(shareId)
+                        .setTokens(tokens))
+                .build();
+        for (Peer peer : rows.values()) {
+            send(peer, message);
+        }
+    }
+
+    /** Returns live router processes to keep bills, those in other failure domains first. */
+    public List<String> chooseHolders(int count) {
+        List<Peer> candidates = new ArrayList<>();
+        for (Peer peer : rows.values()) {
+            boolean alive = nowMillis - peer.lastHeardMillis < SILENT_MILLIS && !peer.draining;
+            if (alive && !peer.incarnation.isEmpty()) {
+                candidates.add(peer);
+            }
+        }
+        candidates.sort((left, right) -> {
+            int byDomain = Boolean.compare(sameDomain(left), sameDomain(right));
+            return byDomain != 0 ? byDomain : Integer.compareUnsigned(rank(left), rank(right));
+        });
+        return candidates.stream().limit(count).map(Peer::incarnation).toList();
+    }
+
+    private boolean sameDomain(Peer peer) {
+        return peer.failureDomain.equals(self.failureDomain());
+    }
+
+    private int rank(Peer peer) {
+        byte[] pair = (self.incarnation() + "/" + peer.incarnation).getBytes(UTF_8);
+        return MurmurHash3.hash32x86(pair, 0, pair.length, 0);
+    }
+
+    /** Reports to peers and notices those that are gone. */
+    public void tick(long tickMillis) {
+        nowMillis = tickMillis;
+        if (tickMillis < nextReportAtMillis) {
+            return;
+        }
+        nextReportAtMillis = tickMillis + REPORT_MILLIS;
+        PeerMessage report = PeerMessage.newBuilder()
+                .setLoad(LoadReport.newBuilder()
+                        .setConfigRevision(configRevision.getAsLong())
+                        .setRequestsInFlight(requestsInFlight.getAsInt())
+                        .setDraining(draining)
+                        .setIncarnation(self.incarnation()))
+                .build();
+        for (Peer peer : new ArrayList<>(rows.values())) {
+            send(peer, report);
+            noticeGone(peer);
+        }
+    }
+
+    private void noticeGone(Peer peer) {
+        boolean silent = nowMillis - peer.lastHeardMillis >= SILENT_MILLIS;
+        boolean unlisted = !peer.listed && nowMillis - peer.unlistedAtMillis >= GONE_AFTER_UNLISTED_MILLIS;
+        if (!silent || !unlisted) {
+            return;
+        }
+        rows.remove(peer.vm);
+        if (!peer.incarnation.isEmpty()) {
+            handlers.onProcessGone(peer.incarnation);
+        }
+    }
+
+    private void send(Peer peer, PeerMessage message) {
+        link.send(peer, message);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/peer/PeerTransport.java
@@ -0,0 +1,181 @@
+package org.radishspan.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import org.apache.commons.codec.digest.HmacAlgorithms;
+import org.apache.commons.codec.digest.HmacUtils;
+import org.jspecify.annotations.Nullable;
+import org.radishspan.config.CallerKey;
+import org.radishspan.proto.Hello;
+import org.radishspan.proto.PeerMessage;
+
+/**
+ * Protobuf messages between routers over TCP, each with its length in front.
+ *
+ * <p>A router sends only on connections that it opened, and hears only on those that it took. The first message on a
+ * connection must be a hello with a proof of the shared secret.
+ */
+public final class PeerTransport implements PeerLink {
+    private static final int MAX_MESSAGE_BYTES = 1_048_576;
+    private static final int LENGTH_BYTES = 4;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final EventLoopGroup group;
+    private final String secret;
+    private final Supplier<PeerMessage> hello;
+    private final BiConsumer<String, PeerMessage> onMessage;
+    private final Map<String, Connection> outgoing = new HashMap<>();
+    private final Channel server;
+    private long bytesSent;
+
+    private static final class Connection {
+        private @Nullable Channel channel;
+        private boolean connecting;
+    }
+
+    /** Binds the port for peers. */
+    public PeerTransport(
+            EventLoopGroup group,
+            String host,
+            int port,
+            String secret,
+            Supplier<PeerMessage> hello,
+            BiConsumer<String, PeerMessage> onMessage) {
+        this.group = group;
+        this.secret = secret;
+        this.hello = hello;
+        this.onMessage = onMessage;
+        this.server = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel child) {
+                        addCodec(child);
+                        child.pipeline().addLast(new Receiver());
+                    }
+                })
+                .bind(host, port)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Returns the proof of the shared secret for a router process. */
+    public static String proof(String secret, String vm, String incarnation) {
+        return new HmacUtils(HmacAlgorithms.HMAC_SHA_256, secret).hmacHex(vm + "/" + incarnation);
+    }
+
+    /** Returns the port bound. */
+    public int port() {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Returns the bytes of all messages sent. */
+    public long bytesSent() {
+        return bytesSent;
+    }
+
+    /** Closes the port and every connection. */
+    public void stop() {
+        server.close();
+        for (Connection connection : outgoing.values()) {
+            if (connection.channel != null) {
+                connection.channel.close();
+            }
+        }
+    }
+
+    @Override
+    public void send(Peer peer, PeerMessage message) {
+        String address = peer.host() + ":" + peer.port();
+        Connection connection = outgoing.computeIfAbsent(address, ignored -> new Connection());
+        Channel channel = connection.channel;
+        if (channel != null && channel.isActive()) {
+            bytesSent += message.getSerializedSize() + LENGTH_BYTES;
+            channel.writeAndFlush(message);
+            return;
+        }
+        if (!connection.connecting) {
+            connect(peer, connection, message);
+        }
+    }
+
+    private void connect(Peer peer, Connection connection, PeerMessage first) {
+        connection.connecting = true;
+        ChannelFuture future = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        addCodec(channel);
+                    }
+                })
+                .connect(peer.host(), peer.port());
+        future.addListener(done -> {
+            connection.connecting = false;
+            if (done.isSuccess()) {
+                connection.channel = future.channel();
+                future.channel().write(hello.get());
+                future.channel().writeAndFlush(first);
+            }
+        });
+    }
+
+    private static void addCodec(SocketChannel channel) {
+        channel.pipeline()
+                .addLast(new LengthFieldBasedFrameDecoder(MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                .addLast(new ProtobufDecoder(PeerMessage.getDefaultInstance()))
+                .addLast(new ProtobufEncoder());
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<PeerMessage> {
+        private @Nullable String vm;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+            if (message.hasHello() && proven(message.getHello())) {
+                vm = message.getHello().getVm();
+            }
+            if (vm == null) {
+                context.close();
+                return;
+            }
+            onMessage.accept(vm, message);
+        }
+
+        private boolean proven(Hello greeting) {
+            return CallerKey.sameText(
+                    proof(secret, greeting.getVm(), greeting.getIncarnation()), greeting.getSecretProof());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/platform/CallBudget.java
@@ -0,0 +1,55 @@
+package org.radishspan.platform;
+
+/**
+ * A token bucket that keeps one VM's calls within its part of the platform's rate.
+ *
+ * <pre>{@code
+ * CallBudget writes = new CallBudget(20, 40);
+ * if (writes.tryTake(nowMillis)) {
+ *     store.put(key, version, value, reply);
+ * }
+ * }</pre>
+ */
+public final class CallBudget {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private final double callsPerSecond;
+    private final double burstCalls;
+    private double tokens;
+    private long refilledAtMillis;
+    private boolean started;
+
+    /** Creates a full bucket. */
+    public CallBudget(double callsPerSecond, double burstCalls) {
+        if (callsPerSecond <= 0) {
+            throw new IllegalArgumentException("callsPerSecond must be positive: " + callsPerSecond);
+        }
+        if (burstCalls < 1) {
+            throw new IllegalArgumentException("burstCalls must be at least 1: " + burstCalls);
+        }
+        this.callsPerSecond = callsPerSecond;
+        this.burstCalls = burstCalls;
+        this.tokens = burstCalls;
+    }
+
+    /** Takes one call if the rate allows it. */
+    public boolean tryTake(long nowMillis) {
+        refill(nowMillis);
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    private void refill(long nowMillis) {
+        if (!started) {
+            started = true;
+            refilledAtMillis = nowMillis;
+            return;
+        }
+        long elapsedMillis = Math.max(0, nowMillis - refilledAtMillis);
+        refilledAtMillis = nowMillis;
+        tokens = Math.min(burstCalls, tokens + elapsedMillis * callsPerSecond / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -0,0 +1,311 @@
+package org.radishspan.router;
+
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.radishspan.budget.HeldBillSystem;
+import org.radishspan.budget.Ledger;
+import org.radishspan.budget.LedgerPartitions;
+import org.radishspan.budget.SharePolicy;
+import org.radishspan.budget.ShareSystem;
+import org.radishspan.config.ConfigurationSystem;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.http.HttpTransport;
+import org.radishspan.journal.Journal;
+import org.radishspan.journal.JournalPartitions;
+import org.radishspan.membership.MembershipSystem;
+import org.radishspan.peer.PeerLink;
+import org.radishspan.peer.PeerSystem;
+import org.radishspan.platform.CallBudget;
+import org.radishspan.platform.PlatformStore;
+import org.radishspan.platform.SharedObject;
+import org.radishspan.proto.ConfigurationState;
+import org.radishspan.proto.PeerMessage;
+import org.radishspan.proto.PresetState;
+import org.radishspan.proto.WorkspaceState;
+import org.radishspan.recovery.RecoverySystem;
+import org.radishspan.request.CallReader;
+import org.radishspan.request.CallSpec;
+import org.radishspan.request.CallerReply;
+import org.radishspan.request.RequestSystem;
+import org.radishspan.routing.TargetChooser;
+import org.radishspan.routing.TargetTable;
+
+/**
+ * One router without its sockets: tables, and the systems that run over them each tick.
+ *
+ * <p>Everything runs on one thread. Time, randomness, the platform, targets and peers come in through ports, so that the
+ * same code runs in tests on virtual time.
+ */
+public final class Router {
+
+    /**
+     * What a router needs from the world.
+     *
+     * @param store the platform's object API
+     * @param transport the way to targets
+     * @param link the way to other routers
+     * @param random for jitter and choices
+     */
+    public record Ports(PlatformStore store, HttpTransport transport, PeerLink link, UniformRandomProvider random) {}
+
+    private static final double BURST_SECONDS = 1.0;
+    private static final long RECOVERY_STAGGER_MILLIS = 2_000;
+
+    private final RouterSettings settings;
+    private final String incarnation;
+    private final LedgerPartitions ledgers;
+    private final JournalPartitions journals;
+    private final ConfigurationSystem configuration;
+    private final TargetTable targets = new TargetTable();
+    private final MembershipSystem membership;
+    private final PeerSystem peers;
+    private final ShareSystem shares;
+    private final HeldBillSystem heldBills;
+    private final RecoverySystem recovery;
+    private final RequestSystem requests;
+    private final CallReader callReader;
+    private final UniformRandomProvider random;
+    private long requestCount;
+    private long nowMillis;
+    private boolean draining;
+
+    /** Creates a router process with a new incarnation id. */
+    public Router(RouterSettings settings, String incarnation, Ports ports) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.random = ports.random();
+        SharedObject.Ports objectPorts = objectPorts(settings, ports);
+        this.ledgers = new LedgerPartitions(settings.storage().ledgerPartitions(), objectPorts);
+        this.journals = new JournalPartitions(settings.storage().journalPartitions(), objectPorts);
+        this.configuration = new ConfigurationSystem(ports.store(), objectPorts);
+        this.recovery = new RecoverySystem(ledgers, journals);
+        this.heldBills = new HeldBillSystem(incarnation, ledgers);
+        PeerSystem.Self self = new PeerSystem.Self(settings.vm(), incarnation, settings.failureDomain());
+        this.peers = new PeerSystem(
+                self,
+                ports.link(),
+                new PeerHandlers(),
+                () -> configuration().inForce().getRevision(),
+                this::requestsInProgress);
+        this.shares = new ShareSystem(
+                new ShareSystem.Identity(settings.vm(), incarnation),
+                ledgers,
+                settings.shares(),
+                peers::announceShortage,
+                peers::handOver,
+                peers::chooseHolders);
+        this.membership = new MembershipSystem(ports.store(), ports.transport(), targets, peers::replace);
+        this.requests = new RequestSystem(
+                new RequestSystem.Ports(
+                        shares,
+                        journals,
+                        targets,
+                        TargetChooser.twoChoices(ports.random()),
+                        ports.transport(),
+                        this::nextRequestId),
+                requestLimits(settings, incarnation));
+        this.callReader = new CallReader(
+                new CallReader.Limits(
+                        settings.requests().maxOutputTokens(),
+                        settings.requests().defaultOutputTokens()),
+                settings.services());
+        configuration.onChange(this::onConfiguration);
+    }
+
+    private static SharedObject.Ports objectPorts(RouterSettings settings, Ports ports) {
+        RouterSettings.Platform platform = settings.platform();
+        return new SharedObject.Ports(
+                ports.store(),
+                new CallBudget(platform.readsPerSecond(), platform.readsPerSecond() * BURST_SECONDS),
+                new CallBudget(platform.writesPerSecond(), platform.writesPerSecond() * BURST_SECONDS),
+                ports.random(),
+                settings.storage().commitGapMillis());
+    }
+
+    private static RequestSystem.Limits requestLimits(RouterSettings settings, String incarnation) {
+        RouterSettings.Requests requests = settings.requests();
+        RouterSettings.Storage storage = settings.storage();
+        return new RequestSystem.Limits(
+                incarnation,
+                settings.failureDomain(),
+                requests.deadlineMillis(),
+                requests.progressTimeoutMillis(),
+                requests.awaitMillis(),
+                new Journal.Retention(storage.keepOutcomesMillis(), storage.maxIntents()));
+    }
+
+    private int requestsInProgress() {
+        return requests.inProgress();
+    }
+
+    private String nextRequestId() {
+        requestCount++;
+        return incarnation + "-" + requestCount;
+    }
+
+    private void onConfiguration(ConfigurationState state) {
+        Optional<PresetState> preset = configuration.preset();
+        if (preset.isPresent() && preset.get().getShareHorizonMillis() > 0) {
+            SharePolicy policy =
+                    settings.shares().withHorizonMillis(preset.get().getShareHorizonMillis());
+            shares.usePolicy(policy);
+        }
+    }
+
+    /** Returns the settings. */
+    public RouterSettings settings() {
+        return settings;
+    }
+
+    /** Returns the id of this process. */
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /** Returns the configuration. */
+    public ConfigurationSystem configuration() {
+        return configuration;
+    }
+
+    /** Returns the ledgers. */
+    public LedgerPartitions ledgers() {
+        return ledgers;
+    }
+
+    /** Returns the journals. */
+    public JournalPartitions journals() {
+        return journals;
+    }
+
+    /** Returns the shares. */
+    public ShareSystem shares() {
+        return shares;
+    }
+
+    /** Returns the bills held for other routers. */
+    public HeldBillSystem heldBills() {
+        return heldBills;
+    }
+
+    /** Returns the targets. */
+    public TargetTable targets() {
+        return targets;
+    }
+
+    /** Returns the other routers. */
+    public PeerSystem peers() {
+        return peers;
+    }
+
+    /** Returns the requests. */
+    public RequestSystem requests() {
+        return requests;
+    }
+
+    /** Returns the recoveries. */
+    public RecoverySystem recovery() {
+        return recovery;
+    }
+
+    /** Returns the time of the last tick. */
+    public long nowMillis() {
+        return nowMillis;
+    }
+
+    /** Returns whether the router takes calls. */
+    public boolean ready() {
+        return !draining && configuration.inForce().getRevision() > 0;
+    }
+
+    /** Returns whether another router has closed this process; it must end and start anew. */
+    public boolean fenced() {
+        return shares.counters().sharesLost() > 0;
+    }
+
+    /** Takes a call with the key that the caller showed. */
+    public void accept(Optional<String> callerKey, CallReader.Incoming incoming, CallerReply reply) {
+        Optional<WorkspaceState> workspace = callerKey.flatMap(configuration::workspaceOf);
+        if (workspace.isEmpty()) {
+            reply.fail(Failure.notRun(ErrorKind.UNAUTHORIZED, "the bearer key is missing or wrong"));
+            return;
+        }
+        Either<Failure, CallSpec> call = callReader.read(workspace.get(), incoming);
+        if (call.isLeft()) {
+            reply.fail(call.getLeft());
+            return;
+        }
+        requests.accept(call.get(), reply);
+    }
+
+    /** Takes no new calls; {@link #stopped} turns true when nothing is left. */
+    public void drain() {
+        draining = true;
+        requests.drain();
+        peers.drain();
+        heldBills.close();
+    }
+
+    /** Returns whether a drained router holds nothing any more. */
+    public boolean stopped() {
+        return draining
+                && requests.inProgress() == 0
+                && shares.retired()
+                && heldBills.heldShares() == 0
+                && journals.all().stream().allMatch(SharedObject::idle);
+    }
+
+    /** Runs every system. */
+    public void tick(long tickMillis) {
+        nowMillis = tickMillis;
+        configuration.tick(tickMillis);
+        membership.tick(tickMillis);
+        peers.tick(tickMillis);
+        requests.tick(tickMillis);
+        if (draining && requests.inProgress() == 0) {
+            shares.retire();
+        }
+        shares.tick(tickMillis);
+        heldBills.tick();
+        recovery.tick(tickMillis);
+        ledgers.tick(tickMillis);
+        journals.tick(tickMillis);
+    }
+
+    /** Takes a message of another router. */
+    public void onPeerMessage(String vm, PeerMessage message) {
+        peers.onMessage(vm, message);
+    }
+
+    private final class PeerHandlers implements PeerSystem.Handlers {
+
+        @Override
+        public boolean keepBill(String budget, Ledger.Settlement settlement) {
+            return heldBills.accept(budget, settlement);
+        }
+
+        @Override
+        public void onShortage(String budget, long tokens) {
+            shares.onShortage(budget, tokens);
+        }
+
+        @Override
+        public void onRevision(long revision) {
+            if (revision > configuration.inForce().getRevision()) {
+                configuration.catchUp();
+            }
+        }
+
+        @Override
+        public void onProcessGone(String gone) {
+            recovery.close(gone, nowMillis + random.nextLong(RECOVERY_STAGGER_MILLIS));
+        }
+
+        @Override
+        public void onProcessAlive(String alive) {
+            recovery.cancel(alive);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -0,0 +1,63 @@
+package org.radishspan.routing;
+
+import java.util.Set;
+
+/** One row of the {@link TargetTable}: an engine or a plain service. */
+public final class Target {
+    final String name;
+    final String host;
+    final int port;
+    final String failureDomain;
+    Set<String> serves;
+    boolean leaving;
+    int inFlight;
+    int reportedLoad;
+    int dispatchedSinceReport;
+    long reportedAtMillis;
+    long nextProbeAtMillis;
+    long closedUntilMillis;
+    int consecutiveFailures;
+
+    Target(String name, String host, int port, String failureDomain, Set<String> serves) {
+        this.name = name;
+        this.host = host;
+        this.port = port;
+        this.failureDomain = failureDomain;
+        this.serves = serves;
+    }
+
+    /** Returns the VM's name. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns the address. */
+    public String host() {
+        return host;
+    }
+
+    /** Returns the port. */
+    public int port() {
+        return port;
+    }
+
+    /** Returns the failure domain. */
+    public String failureDomain() {
+        return failureDomain;
+    }
+
+    /** Returns whether the target takes no new work. */
+    public boolean leaving() {
+        return leaving;
+    }
+
+    /** Returns the requests of this router that the target works on. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the load last reported, and what this router has sent since. */
+    public int expectedLoad() {
+        return reportedLoad + dispatchedSinceReport;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -0,0 +1,136 @@
+package org.radishspan.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.agrona.collections.Object2ObjectHashMap;
+import org.jspecify.annotations.Nullable;
+
+/** The targets that this router may send work to. */
+public final class TargetTable {
+
+    /**
+     * A VM in the platform's list.
+     *
+     * @param name the VM
+     * @param role {@code engine}, {@code service} or {@code router}
+     * @param host its address
+     * @param port its port; for routers the port for peers
+     * @param failureDomain where it runs
+     * @param leaving whether the platform is about to stop it
+     * @param serves the models or services that it serves
+     */
+    public record ListedVm(
+            String name,
+            String role,
+            String host,
+            int port,
+            String failureDomain,
+            boolean leaving,
+            Set<String> serves) {}
+
+    private static final int FAILURES_BEFORE_CLOSED = 3;
+    private static final long CLOSED_MILLIS = 2_000;
+
+    private final Object2ObjectHashMap<String, Target> rows = new Object2ObjectHashMap<>();
+
+    /** Returns every target. */
+    public Collection<Target> rows() {
+        return rows.values();
+    }
+
+    /** Returns a target by name. */
+    public @Nullable Target get(String name) {
+        return rows.get(name);
+    }
+
+    /** Takes over the platform's list: new targets appear, leaving ones get no new work, missing ones go. */
+    public void replace(List<ListedVm> vms) {
+        Set<String> listed = new HashSet<>();
+        for (ListedVm vm : vms) {
+            if (!vm.role().equals("router")) {
+                listed.add(vm.name());
+                put(vm);
+            }
+        }
+        for (Target target : new ArrayList<>(rows.values())) {
+            if (!listed.contains(target.name)) {
+                target.leaving = true;
+                rows.remove(target.name);
+            }
+        }
+    }
+
+    private void put(ListedVm vm) {
+        Target known = rows.get(vm.name());
+        boolean same = known != null && known.port == vm.port() && known.host.equals(vm.host());
+        if (known == null || !same) {
+            known = new Target(vm.name(), vm.host(), vm.port(), vm.failureDomain(), vm.serves());
+            rows.put(vm.name(), known);
+        }
+        known.serves = vm.serves();
+        known.leaving = vm.leaving();
+    }
+
+    /** Returns the targets that may be sent new work for a model or service. */
+    public List<Target> candidates(String serves, Set<String> excluded, long nowMillis) {
+        List<Target> result = new ArrayList<>();
+        for (Target target : rows.values()) {
+            boolean open = !target.leaving && target.closedUntilMillis <= nowMillis;
+            if (open && target.serves.contains(serves) && !excluded.contains(target.name)) {
+                result.add(target);
+            }
+        }
+        return result;
+    }
+
+    /** Returns whether any target, also one that takes no work now, serves a model or service. */
+    public boolean knows(String serves) {
+        for (Target target : rows.values()) {
+            if (target.serves.contains(serves)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Counts a dispatch. */
+    public void onDispatched(Target target) {
+        target.inFlight++;
+        target.dispatchedSinceReport++;
+    }
+
+    /** Counts the end of a dispatch. */
+    public void onFinished(Target target, boolean answered, long nowMillis) {
+        target.inFlight--;
+        if (answered) {
+            target.consecutiveFailures = 0;
+            return;
+        }
+        target.consecutiveFailures++;
+        if (target.consecutiveFailures >= FAILURES_BEFORE_CLOSED) {
+            target.consecutiveFailures = 0;
+            target.closedUntilMillis = nowMillis + CLOSED_MILLIS;
+        }
+    }
+
+    /** Returns whether a target is to be asked for its load now, and notes that it is. */
+    public boolean probeDue(Target target, long nowMillis, long periodMillis) {
+        if (nowMillis < target.nextProbeAtMillis) {
+            return false;
+        }
+        target.nextProbeAtMillis = nowMillis + periodMillis;
+        return true;
+    }
+
+    /** Takes over a load report. */
+    public void onLoad(Target target, int load, boolean leaving, long nowMillis) {
+        target.reportedLoad = load;
+        target.dispatchedSinceReport = 0;
+        target.reportedAtMillis = nowMillis;
+        target.leaving |= leaving;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/standin/PlatformStandIn.java
@@ -0,0 +1,154 @@
+package org.radishspan.standin;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.http.ErrorAnswer;
+import org.radishspan.http.HttpCall;
+import org.radishspan.http.HttpServer;
+import org.radishspan.http.Json;
+import org.radishspan.membership.LiveList;
+import org.radishspan.platform.StoredObject;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/**
+ * A stand-in for the platform: the object API and the list of VMs.
+ *
+ * <p>Faults are set with {@code POST /faults} and a body such as
+ * {@code {"outage": true, "delay_millis": 200, "lose_answers": 3}}.
+ */
+public final class PlatformStandIn {
+    private static final int MAX_VALUE_BYTES = 1_048_576;
+    private static final String OBJECTS = "/objects/";
+    private static final String VMS = "/vms/";
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final ObjectTable objects = new ObjectTable();
+    private final Map<String, ObjectNode> vms = new LinkedHashMap<>();
+    private final HttpServer server;
+    private boolean outage;
+    private long delayMillis;
+    private int loseAnswers;
+
+    /** Binds a port, 0 for any. */
+    public PlatformStandIn(String host, int port) {
+        this.server = HttpServer.start(group, host, port, MAX_VALUE_BYTES, this::onCall);
+    }
+
+    /** Returns the port bound. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Ends at once. */
+    public void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void onCall(HttpCall call) {
+        if (call.path().equals("/faults")) {
+            setFaults(call);
+            return;
+        }
+        if (outage) {
+            return;
+        }
+        if (delayMillis > 0) {
+            loop.schedule(() -> route(call), delayMillis, TimeUnit.MILLISECONDS);
+            return;
+        }
+        route(call);
+    }
+
+    private void setFaults(HttpCall call) {
+        Optional<ObjectNode> body = Json.parseObject(call.body());
+        body.ifPresent(faults -> {
+            outage = faults.path("outage").asBoolean(outage);
+            delayMillis = faults.path("delay_millis").asLong(delayMillis);
+            loseAnswers = faults.path("lose_answers").asInt(loseAnswers);
+        });
+        call.respond(200, Json.CONTENT_TYPE, "{}");
+    }
+
+    private void route(HttpCall call) {
+        String path = call.path();
+        if (path.startsWith(OBJECTS)) {
+            onObject(call, path.substring(OBJECTS.length()));
+            return;
+        }
+        if (path.startsWith(VMS)) {
+            onVm(call, path.substring(VMS.length()));
+            return;
+        }
+        ErrorAnswer.send(call, Failure.notRun(ErrorKind.NOT_FOUND, "no such path: " + path));
+    }
+
+    private void onObject(HttpCall call, String key) {
+        if (call.method().equals("PUT")) {
+            put(call, key);
+            return;
+        }
+        if (call.query("above").isPresent()) {
+            watch(call, key);
+            return;
+        }
+        send(call, objects.get(key));
+    }
+
+    private void put(HttpCall call, String key) {
+        long expected = Long.parseLong(call.header("if-match").orElse("0"));
+        objects.put(key, expected, call.body())
+                .peek(version -> answerWrite(call, version))
+                .peekLeft(failure -> call.respond(
+                        412, Json.CONTENT_TYPE, ErrorAnswer.json(failure).toString()));
+    }
+
+    private void answerWrite(HttpCall call, long version) {
+        if (loseAnswers > 0) {
+            loseAnswers--;
+            return;
+        }
+        call.respond(200, Json.CONTENT_TYPE, new byte[0], Map.of("etag", Long.toString(version)));
+    }
+
+    private static void send(HttpCall call, StoredObject stored) {
+        if (stored.version() == StoredObject.ABSENT_VERSION) {
+            ErrorAnswer.send(call, Failure.notRun(ErrorKind.NOT_FOUND, "no such object"));
+            return;
+        }
+        call.respond(200, "application/octet-stream", stored.value(), Map.of("etag", Long.toString(stored.version())));
+    }
+
+    private void watch(HttpCall call, String key) {
+        long above = Long.parseLong(call.query("above").orElse("0"));
+        long waitMillis = Long.parseLong(call.query("wait_ms").orElse("0"));
+        objects.await(key, above, stored -> send(call, stored));
+        loop.schedule(() -> call.respond(304, Json.CONTENT_TYPE, ""), waitMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void onVm(HttpCall call, String name) {
+        if (call.method().equals("DELETE")) {
+            vms.remove(name);
+        } else {
+            Json.parseObject(call.body()).ifPresent(vm -> vms.put(name, vm));
+        }
+        ObjectNode root = Json.object();
+        ArrayNode list = root.putArray("vms");
+        vms.values().forEach(list::add);
+        long version = objects.get(LiveList.KEY).version();
+        objects.put(LiveList.KEY, version, root.toString().getBytes(UTF_8));
+        call.respond(200, Json.CONTENT_TYPE, "{}");
+    }
+}
