Prove the promises under each fault and each pair of faults on virtual time

Ruled out: lost settlements (running totals were equal on both sides in the traces). A share may outlast the fleet only when a holder of it died as well; that case is allowed by the design and is checked as such.

--- a/src/main/java/org/radishspan/peer/Peer.java
+++ b/src/main/java/org/radishspan/peer/Peer.java
@@ -1,5 +1,8 @@
 package org.radishspan.peer;
 
+import java.util.HashSet;
+import java.util.Set;
+
 /** One row of the {@link PeerSystem}: another router. */
 public final class Peer {
     final String vm;
@@ -13,6 +16,7 @@
     long unlistedAtMillis;
     long configRevision;
     int requestsInFlight;
+    final Set<String> endedIncarnations = new HashSet<>();
 
     Peer(String vm, String host, int port, String failureDomain) {
         this.vm = vm;
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -154,17 +154,31 @@
     }
 
     private void onHello(Peer peer, Hello hello) {
-        boolean restarted = !peer.incarnation.isEmpty() && !peer.incarnation.equals(hello.getIncarnation());
-        if (restarted) {
-            handlers.onProcessGone(peer.incarnation);
+        if (!onIncarnation(peer, hello.getIncarnation())) {
+            return;
         }
-        peer.incarnation = hello.getIncarnation();
         peer.failureDomain = hello.getFailureDomain();
         peer.draining = hello.getDraining();
-        handlers.onProcessAlive(peer.incarnation);
+    }
+
+    /** Notes which process runs on a VM; returns false for a late message of one that has ended. */
+    private boolean onIncarnation(Peer peer, String incarnation) {
+        if (peer.endedIncarnations.contains(incarnation)) {
+            return false;
+        }
+        if (!peer.incarnation.isEmpty() && !peer.incarnation.equals(incarnation)) {
+            peer.endedIncarnations.add(peer.incarnation);
+            handlers.onProcessGone(peer.incarnation);
+        }
+        peer.incarnation = incarnation;
+        handlers.onProcessAlive(incarnation);
+        return true;
     }
 
     private void onLoad(Peer peer, LoadReport load) {
+        if (!onIncarnation(peer, load.getIncarnation())) {
+            return;
+        }
         peer.configRevision = load.getConfigRevision();
         peer.requestsInFlight = load.getRequestsInFlight();
         peer.draining = load.getDraining();
--- /dev/null
+++ b/src/test/java/org/radishspan/budget/LedgerTest.java
@@ -0,0 +1,180 @@
+package org.radishspan.budget;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.platform.SharedObject.Mutation;
+import org.radishspan.proto.AccountState;
+import org.radishspan.proto.LedgerState;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** The mutations of a ledger. */
+public class LedgerTest {
+    private static final String BUDGET = "crew";
+    private static final String SHARE = "p1.1";
+    private static final String OTHER_SHARE = "p2.1";
+
+    private static Ledger.Operation operation(String id) {
+        return new Ledger.Operation("someone", id, 1);
+    }
+
+    private static LedgerState withLimit(long tokens) {
+        return apply(LedgerState.getDefaultInstance(), Ledger.create(BUDGET, tokens, "fenced", operation("op-0")));
+    }
+
+    private static LedgerState apply(LedgerState state, Mutation<LedgerState> mutation) {
+        Either<Failure, LedgerState> result = mutation.apply(state);
+        assertTrue(result.isRight(), String.valueOf(result));
+        assertEquals(mutation.apply(result.get()).get(), result.get(), "a mutation applied again changes nothing");
+        assertTrue(Ledger.freeTokens(account(result.get())) >= 0, "grants pass the limit");
+        return result.get();
+    }
+
+    private static ErrorKind refusal(LedgerState state, Mutation<LedgerState> mutation) {
+        return mutation.apply(state).getLeft().kind();
+    }
+
+    private static AccountState account(LedgerState state) {
+        return state.getAccountsOrThrow(BUDGET);
+    }
+
+    private static Mutation<LedgerState> grant(String share, long seq, long tokens, String... holders) {
+        return Ledger.grant(
+                BUDGET,
+                new Ledger.GrantRequest(share, share.substring(0, 2), "vm", seq, tokens, 0, List.of(holders)),
+                GrantRule.asAsked());
+    }
+
+    private static Ledger.Settlement settlement(String share, long seq, long spent) {
+        return new Ledger.Settlement(share, seq, spent, 0, 0);
+    }
+
+    /** Limits. */
+    public static class Limit {
+        @Test
+        public void isToppedUpOncePerOperation() {
+            LedgerState state = apply(withLimit(100), Ledger.topUp(BUDGET, 50, operation("op-1")));
+            assertEquals(account(state).getLimitTokens(), 150);
+        }
+
+        @Test
+        public void staysAboveWhatIsOut() {
+            LedgerState state = apply(withLimit(100), grant(SHARE, 1, 80));
+            assertEquals(refusal(state, Ledger.setLimit(BUDGET, 79, operation("op-1"))), ErrorKind.CONFLICT);
+            assertEquals(
+                    account(apply(state, Ledger.setLimit(BUDGET, 80, operation("op-2"))))
+                            .getLimitTokens(),
+                    80);
+        }
+
+        @Test
+        public void leavesAnAuditEntryWithEachChange() {
+            LedgerState state = apply(withLimit(100), Ledger.topUp(BUDGET, 50, operation("op-1")));
+            assertEquals(state.getAuditCount(), 2);
+            assertEquals(state.getAudit(1).getBefore(), "limit 100");
+            assertEquals(state.getAudit(1).getAfter(), "limit 150");
+        }
+    }
+
+    /** Shares. */
+    public static class Shares {
+        @Test
+        public void neverHoldMoreThanTheLimitTogether() {
+            LedgerState state = apply(withLimit(100), grant(SHARE, 1, 80));
+            state = apply(state, grant(OTHER_SHARE, 1, 80));
+            assertEquals(Ledger.freeTokens(account(state)), 0);
+            assertEquals(account(state).getShares(1).getGrantedTokens(), 20);
+        }
+
+        @Test
+        public void areNotMadeAnewOnceTheyAreGone() {
+            LedgerState state = apply(withLimit(100), grant(SHARE, 1, 80));
+            state = apply(state, Ledger.retire(BUDGET, settlement(SHARE, 1, 10)));
+            assertEquals(refusal(state, grant(SHARE, 2, 10)), ErrorKind.SHARE_LOST);
+            assertEquals(account(state).getClosedSpentTokens(), 10);
+        }
+
+        @Test
+        public void giveBackOnlyWhatTheyDidNotSpend() {
+            LedgerState state = apply(withLimit(100), grant(SHARE, 1, 80));
+            state = apply(state, Ledger.settle(BUDGET, settlement(SHARE, 1, 30)));
+            assertEquals(refusal(state, Ledger.giveBack(BUDGET, SHARE, 2, 60)), ErrorKind.INTERNAL);
+            state = apply(state, Ledger.giveBack(BUDGET, SHARE, 2, 50));
+            assertEquals(Ledger.freeTokens(account(state)), 70);
+        }
+
+        @Test
+        public void moveTokensUpToARunningTotal() {
+            LedgerState state = apply(withLimit(100), grant(SHARE, 1, 80));
+            state = apply(state, grant(OTHER_SHARE, 1, 20));
+            state = apply(state, Ledger.transfer(BUDGET, SHARE, OTHER_SHARE, 30));
+            state = apply(state, Ledger.transfer(BUDGET, SHARE, OTHER_SHARE, 40));
+            assertEquals(account(state).getShares(0).getGrantedTokens(), 40);
+            assertEquals(account(state).getShares(1).getGrantedTokens(), 60);
+        }
+    }
+
+    /** Closed shares. */
+    public static class Closed {
+        private static LedgerState closedWithHolder() {
+            LedgerState state = apply(withLimit(100), grant(SHARE, 1, 80, "p2"));
+            state = apply(state, Ledger.settle(BUDGET, settlement(SHARE, 1, 10)));
+            return apply(state, Ledger.close("p1"));
+        }
+
+        @Test
+        public void takeNoMoreBillsOfTheirOwnRouter() {
+            LedgerState state = closedWithHolder();
+            assertEquals(refusal(state, Ledger.settle(BUDGET, settlement(SHARE, 2, 20))), ErrorKind.SHARE_LOST);
+            assertEquals(refusal(state, grant(SHARE, 2, 1)), ErrorKind.SHARE_LOST);
+        }
+
+        @Test
+        public void takeBillsOfAHolderUntilItReleasesThem() {
+            LedgerState state = apply(closedWithHolder(), Ledger.settleHeld(BUDGET, "p2", settlement(SHARE, 2, 25)));
+            assertEquals(Ledger.billedTokens(account(state)), 25);
+            state = apply(state, Ledger.release("p2", List.of(SHARE)));
+            assertEquals(
+                    refusal(state, Ledger.settleHeld(BUDGET, "p2", settlement(SHARE, 3, 30))), ErrorKind.SHARE_LOST);
+        }
+
+        @Test
+        public void giveTheirRestBackOnlyWhenSweptAndReleased() {
+            LedgerState swept = apply(closedWithHolder(), Ledger.sweepJournals(BUDGET, SHARE, List.of()));
+            assertEquals(Ledger.forfeitedTokens(account(swept)), 70, "a holder may still have bills");
+            LedgerState released = apply(closedWithHolder(), Ledger.release("p2", List.of(SHARE)));
+            assertEquals(Ledger.forfeitedTokens(account(released)), 70, "a journal may still have bills");
+            LedgerState both = apply(swept, Ledger.release("p2", List.of(SHARE)));
+            assertEquals(Ledger.forfeitedTokens(account(both)), 0);
+            assertEquals(Ledger.freeTokens(account(both)), 90);
+        }
+
+        @Test
+        public void countEachJournalBillOnce() {
+            LedgerState state = closedWithHolder();
+            state = apply(state, Ledger.settleHeld(BUDGET, "p2", new Ledger.Settlement(SHARE, 2, 10, 1, 5)));
+            state = apply(
+                    state,
+                    Ledger.sweepJournals(
+                            BUDGET, SHARE, List.of(new Ledger.KeyedBill(1, 5), new Ledger.KeyedBill(2, 7))));
+            assertEquals(Ledger.billedTokens(account(state)), 22);
+        }
+
+        @Test
+        public void keepTheirRestForTheOperatorIfTheAccountSaysSo() {
+            LedgerState state =
+                    apply(LedgerState.getDefaultInstance(), Ledger.create(BUDGET, 100, "operator", operation("op-0")));
+            state = apply(state, grant(SHARE, 1, 80));
+            state = apply(state, Ledger.close("p1"));
+            state = apply(state, Ledger.sweepJournals(BUDGET, SHARE, List.of()));
+            assertEquals(Ledger.forfeitedTokens(account(state)), 80);
+            state = apply(state, Ledger.releaseForfeit(BUDGET, SHARE, operation("op-1")));
+            assertEquals(Ledger.freeTokens(account(state)), 100);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/radishspan/journal/JournalTest.java
@@ -0,0 +1,130 @@
+package org.radishspan.journal;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.platform.SharedObject.Mutation;
+import org.radishspan.proto.IntentState;
+import org.radishspan.proto.IntentState.Phase;
+import org.radishspan.proto.JournalState;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** The mutations of a journal. */
+public class JournalTest {
+    private static final String KEY = "crew/entry-1";
+    private static final Journal.Attempt FIRST = new Journal.Attempt(KEY, "p1", 1);
+    private static final Journal.Attempt OTHER = new Journal.Attempt(KEY, "p2", 1);
+    private static final Journal.Outcome OUTCOME =
+            new Journal.Outcome(201, "text/plain", ByteString.copyFromUtf8("filed"));
+    private static final Journal.Retention RETENTION = new Journal.Retention(1_000, 2);
+
+    private static Mutation<JournalState> claim(Journal.Attempt attempt, boolean repeatable, long atMillis) {
+        return Journal.claim(
+                attempt, new Journal.Details("id", "print", repeatable, atMillis), RETENTION, ignored -> true);
+    }
+
+    private static JournalState apply(JournalState state, Mutation<JournalState> mutation) {
+        Either<Failure, JournalState> result = mutation.apply(state);
+        assertTrue(result.isRight(), String.valueOf(result));
+        assertEquals(mutation.apply(result.get()).get(), result.get(), "a mutation applied again changes nothing");
+        return result.get();
+    }
+
+    private static JournalState claimed(boolean repeatable) {
+        return apply(JournalState.getDefaultInstance(), claim(FIRST, repeatable, 0));
+    }
+
+    private static IntentState intent(JournalState state) {
+        return state.getIntentsOrThrow(KEY);
+    }
+
+    /** Claims. */
+    public static class Claim {
+        @Test
+        public void belongToTheFirst() {
+            JournalState state = apply(claimed(false), claim(OTHER, false, 0));
+            assertEquals(intent(state).getIncarnation(), "p1");
+        }
+
+        @Test
+        public void areFreeAgainAfterARelease() {
+            JournalState state = apply(claimed(false), Journal.release(FIRST));
+            state = apply(state, claim(OTHER, false, 0));
+            assertEquals(intent(state).getIncarnation(), "p2");
+        }
+
+        @Test
+        public void areRefusedRatherThanAnOutcomeForgotten() {
+            JournalState state = apply(claimed(false), claim(new Journal.Attempt("b", "p1", 2), false, 0));
+            Either<Failure, JournalState> third =
+                    claim(new Journal.Attempt("c", "p1", 3), false, 0).apply(state);
+            assertEquals(third.getLeft().kind(), ErrorKind.OVERLOADED);
+        }
+
+        @Test
+        public void dropFinishedIntentsPastTheirTimeOnly() {
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            state = apply(state, claim(new Journal.Attempt("b", "p1", 2), false, 1_000));
+            assertTrue(state.containsIntents(KEY));
+            state = apply(state, claim(new Journal.Attempt("c", "p1", 3), false, 1_001));
+            assertFalse(state.containsIntents(KEY));
+            assertTrue(state.containsIntents("b"), "a running one stays");
+        }
+    }
+
+    /** Outcomes. */
+    public static class Outcomes {
+        @Test
+        public void areRecordedByTheOwnerOnly() {
+            assertTrue(
+                    Journal.complete(OTHER, OUTCOME, null).apply(claimed(false)).isLeft());
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            assertEquals(intent(state).getAnswer().toStringUtf8(), "filed");
+        }
+
+        @Test
+        public void areNotReplacedByAnUnknownOne() {
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            assertTrue(Journal.giveUp(FIRST).apply(state).isLeft());
+        }
+    }
+
+    /** Closed processes. */
+    public static class Close {
+        @Test
+        public void makesARequestThatMayNotBeRepeatedUnknown() {
+            JournalState state = apply(claimed(false), Journal.close("p1"));
+            assertEquals(intent(state).getPhase(), Phase.UNKNOWN);
+            state = apply(state, claim(OTHER, false, 0));
+            assertEquals(intent(state).getPhase(), Phase.UNKNOWN, "it is never dispatched again");
+        }
+
+        @Test
+        public void letsAnotherRepeatOneThatMayBe() {
+            JournalState state = apply(claimed(true), Journal.close("p1"));
+            state = apply(state, claim(OTHER, true, 0));
+            assertEquals(intent(state).getIncarnation(), "p2");
+        }
+
+        @Test
+        public void refusesLaterOutcomesAndClaims() {
+            JournalState state = apply(claimed(true), Journal.close("p1"));
+            assertTrue(Journal.complete(FIRST, OUTCOME, null).apply(state).isLeft());
+            Either<Failure, JournalState> late =
+                    claim(new Journal.Attempt("b", "p1", 2), false, 0).apply(state);
+            assertEquals(late.getLeft().kind(), ErrorKind.DRAINING);
+        }
+
+        @Test
+        public void leavesOutcomesThatAreRecorded() {
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            state = apply(state, Journal.close("p1"));
+            assertEquals(intent(state).getPhase(), Phase.DONE);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/radishspan/virtual/TestCaller.java
@@ -0,0 +1,129 @@
+package org.radishspan.virtual;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.radishspan.error.Failure;
+import org.radishspan.request.CallReader;
+import org.radishspan.request.CallerReply;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** A caller that keeps what it is told. */
+public final class TestCaller implements CallerReply {
+    final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    int status;
+    boolean ended;
+    boolean aborted;
+    String requestId = "";
+    boolean replayed;
+
+    @Nullable
+    Failure failure;
+
+    private @Nullable Runnable onClosed;
+
+    /** Sends a chat call to a router. */
+    public static TestCaller chat(
+            VirtualNode node, String key, int maxTokens, boolean stream, @Nullable String idempotencyKey) {
+        String json = "{\"model\":\"" + VirtualFleet.MODEL + "\",\"max_tokens\":" + maxTokens + ",\"stream\":" + stream
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
+        return send(node, key, CallReader.CHAT_PATH, json, idempotencyKey);
+    }
+
+    /** Sends a call of the service to a router. */
+    public static TestCaller entry(VirtualNode node, String key, String idempotencyKey) {
+        return send(node, key, CallReader.SERVICES_PATH + VirtualFleet.SERVICE + "/file", "{}", idempotencyKey);
+    }
+
+    private static TestCaller send(
+            VirtualNode node, String key, String path, String json, @Nullable String idempotencyKey) {
+        TestCaller caller = new TestCaller();
+        node.router()
+                .accept(
+                        java.util.Optional.of(key),
+                        new CallReader.Incoming(path, json.getBytes(UTF_8), idempotencyKey, null),
+                        caller);
+        return caller;
+    }
+
+    boolean answered() {
+        return ended && failure == null && status >= 200 && status < 300;
+    }
+
+    boolean over() {
+        return ended || aborted;
+    }
+
+    String text() {
+        return body.toString(UTF_8);
+    }
+
+    void leave() {
+        if (onClosed != null) {
+            onClosed.run();
+        }
+    }
+
+    @Override
+    public void respond(int code, String contentType, byte[] bytes, Map<String, String> headers) {
+        checkOpen();
+        status = code;
+        requestId = headers.getOrDefault("x-request-id", "");
+        replayed = headers.containsKey("x-replayed");
+        body.writeBytes(bytes);
+        ended = true;
+    }
+
+    private void checkOpen() {
+        if (over()) {
+            throw new AssertionError("a caller was answered twice");
+        }
+    }
+
+    @Override
+    public void startStream(String contentType, Map<String, String> headers) {
+        status = 200;
+        requestId = headers.getOrDefault("x-request-id", "");
+        replayed = headers.containsKey("x-replayed");
+    }
+
+    @Override
+    public void write(byte[] bytes) {
+        checkOpen();
+        body.writeBytes(bytes);
+    }
+
+    @Override
+    public void end() {
+        checkOpen();
+        ended = true;
+    }
+
+    @Override
+    public void abort() {
+        aborted = true;
+    }
+
+    @Override
+    public void fail(Failure reason) {
+        checkOpen();
+        failure = reason;
+        status = reason.kind().httpStatus();
+        ended = true;
+    }
+
+    @Override
+    public boolean writable() {
+        return true;
+    }
+
+    @Override
+    public void onClosed(Runnable action) {
+        onClosed = action;
+    }
+
+    @Override
+    public void onWritable(Runnable action) {}
+}
