--- a/src/main/java/org/radishspan/request/ClaimSystem.java
+++ b/src/main/java/org/radishspan/request/ClaimSystem.java
@@ -79,7 +79,14 @@
             finisher.fail(request, Failure.notRun(failure.kind(), failure.message()));
             return;
         }
-        IntentState intent = result.get().getIntentsOrThrow(attempt.key());
+        IntentState intent = result.get().getIntentsMap().get(attempt.key());
+        if (intent == null) {
+            // Another attempt held the key and released it in the same commit.
+            activeAttempts.remove(attempt.attempt());
+            request.claim = null;
+            request.phase = Request.Phase.AWAIT_OTHER;
+            return;
+        }
         boolean mine = intent.getIncarnation().equals(incarnation) && intent.getAttempt() == attempt.attempt();
         if (mine && intent.getPhase() == Phase.RUNNING) {
             table.moveTo(request, Request.Phase.ADMIT);
