Divide what is left of a budget by demand; measure budgets with a benchmark

Cause: shares aimed at horizon x demand whatever was left. Ruled out: the platform's rates (32 writes/s of 50 allowed) and conflicts (0.1/s). Change: a share aims at min(horizon x demand, 90% of the unspent tokens x its part of the fleet's demand), is filled at 90% of that and gives excess back at 125%, or at once while another share waits; call rates are now the fleet's, divided among the listed routers; a contended object is read just before it is written. Conclusion: the horizon is safe to set long (660 s) because scarcity, not the horizon, limits what is held near the end.

--- /dev/null
+++ b/src/main/java/org/radishspan/bench/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Benchmarks of the decisions, on virtual time.
+ */
+@NullMarked
+package org.radishspan.bench;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -49,6 +49,7 @@
      * @param requestSeq counts the requests of this share
      * @param tokens how many more tokens would serve the expected demand
      * @param minimumTokens the least that helps; a smaller grant is refused
+     * @param demandTokensPerSecond the demand that the router measures
      * @param holders the router processes that may hold unposted business of this share
      */
     public record GrantRequest(
@@ -58,6 +59,7 @@
             long requestSeq,
             long tokens,
             long minimumTokens,
+            long demandTokensPerSecond,
             List<String> holders) {}
 
     /**
@@ -158,14 +160,16 @@
             ShareState changed = share.toBuilder()
                     .setRequestSeq(request.requestSeq())
                     .setGrantedTokens(share.getGrantedTokens() + (enough ? granted : 0))
-                    .setWantedTokens(enough ? 0 : request.tokens())
+                    .setWantedTokens(enough ? 0 : request.minimumTokens())
+                    .setDemandTokensPerSecond(request.demandTokensPerSecond())
                     .build();
             return Either.right(putShare(state, account, index, withHolders(changed, request.holders())));
         });
     }
 
     /** Gives tokens of a share back; the router has stopped counting on them before it asks. */
-    public static Mutation<LedgerState> giveBack(String budget, String shareId, long requestSeq, long tokens) {
+    public static Mutation<LedgerState> giveBack(
+            String budget, String shareId, long requestSeq, long tokens, long demandTokensPerSecond) {
         return onShare(budget, shareId, (state, account, index) -> {
             ShareState share = account.getShares(index);
             if (share.getRequestSeq() >= requestSeq) {
@@ -175,6 +179,7 @@
                     .setRequestSeq(requestSeq)
                     .setGrantedTokens(share.getGrantedTokens() - tokens)
                     .setWantedTokens(0)
+                    .setDemandTokensPerSecond(demandTokensPerSecond)
                     .build();
             if (changed.getGrantedTokens() < spentTokens(changed)) {
                 return Either.left(
@@ -378,6 +383,27 @@
         return total;
     }
 
+    /** Returns the tokens of an account that no bill used. */
+    public static long unspentTokens(AccountState account) {
+        return account.getLimitTokens() - billedTokens(account);
+    }
+
+    /** Returns the demand that the routers with open shares measure together. */
+    public static long demandTokensPerSecond(AccountState account) {
+        return account.getSharesList().stream()
+                .filter(share -> !share.getClosed())
+                .mapToLong(ShareState::getDemandTokensPerSecond)
+                .sum();
+    }
+
+    /** Returns whether a share other than the given one waits for tokens. */
+    public static boolean wantedElsewhere(AccountState account, String shareId) {
+        return account.getSharesList().stream()
+                .anyMatch(share -> share.getWantedTokens() > 0
+                        && !share.getClosed()
+                        && !share.getShareId().equals(shareId));
+    }
+
     /** Returns the unspent tokens that closed shares of an account still hold. */
     public static long forfeitedTokens(AccountState account) {
         return account.getSharesList().stream()
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -44,6 +44,12 @@
     double demandTokensPerSecond;
     long demandTokens;
     boolean exhausted;
+    boolean wantedElsewhere;
+    boolean accountSeen;
+    long unspentTokens;
+    long fleetDemandTokensPerSecond;
+    long reportedDemandTokensPerSecond;
+    long nextNoticeAtMillis;
 
     @Nullable
     Failure lastFailure;
@@ -177,6 +183,7 @@
         committedKeyedTokens = 0;
         requestInFlight = false;
         settleInFlight = false;
+        accountSeen = false;
         return lost;
     }
 }
--- a/src/main/java/org/radishspan/budget/ShareCounters.java
+++ b/src/main/java/org/radishspan/budget/ShareCounters.java
@@ -8,7 +8,6 @@
     long refused;
     long sharesLost;
     long handovers;
-    long lastFreeTokens;
 
     /** Returns the grants asked for. */
     public long grantRequests() {
@@ -39,9 +38,4 @@
     public long handovers() {
         return handovers;
     }
-
-    /** Returns the free tokens of the account last heard of. */
-    public long lastFreeTokens() {
-        return lastFreeTokens;
-    }
 }
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -5,6 +5,7 @@
  *
  * @param horizonMillis a share covers the demand of this long without the platform
  * @param freeFraction one grant takes at most this part of the free tokens
+ * @param heldFraction all shares together aim at this part of the unspent tokens
  * @param minimumGrantTokens the least that is asked for beyond the need of the moment
  * @param waitMillis how long a request waits for tokens before it is refused
  * @param retryMillis the time between two requests to the ledger for one share
@@ -14,13 +15,14 @@
 public record SharePolicy(
         long horizonMillis,
         double freeFraction,
+        double heldFraction,
         long minimumGrantTokens,
         long waitMillis,
         long retryMillis,
         long handoverAfterMillis,
         int holderCount) {
     /** The setting for ordinary days. */
-    public static final SharePolicy DEFAULT = new SharePolicy(600_000, 0.125, 256, 2_000, 100, 500, 2);
+    public static final SharePolicy DEFAULT = new SharePolicy(660_000, 0.5, 0.9, 256, 2_000, 100, 500, 2);
 
     /** Checks the fields. */
     public SharePolicy {
@@ -35,12 +37,13 @@
     /** Returns this policy with another horizon. */
     public SharePolicy withHorizonMillis(long millis) {
         return new SharePolicy(
-                millis, freeFraction, minimumGrantTokens, waitMillis, retryMillis, handoverAfterMillis, holderCount);
-    }
-
-    /** Returns this policy with another fraction of the free tokens a grant. */
-    public SharePolicy withFreeFraction(double fraction) {
-        return new SharePolicy(
-                horizonMillis, fraction, minimumGrantTokens, waitMillis, retryMillis, handoverAfterMillis, holderCount);
+                millis,
+                freeFraction,
+                heldFraction,
+                minimumGrantTokens,
+                waitMillis,
+                retryMillis,
+                handoverAfterMillis,
+                holderCount);
     }
 }
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -53,8 +53,9 @@
     private static final long RATE_PERIOD_MILLIS = 1_000;
     private static final double RATE_SMOOTHING = 0.2;
     private static final double MILLIS_PER_SECOND = 1_000.0;
-    private static final double LOW_WATER_FRACTION = 0.5;
-    private static final double EXCESS_FACTOR = 2.0;
+    private static final double LOW_WATER_FRACTION = 0.9;
+    private static final double EXCESS_FACTOR = 1.25;
+    private static final long NOTICE_MILLIS = 1_000;
     private static final long HANDOVER_RETRY_MILLIS = 200;
 
     private final Identity identity;
@@ -220,9 +221,17 @@
                 .retryAfter(policy.waitMillis());
     }
 
+    /** Returns what the share should have available: the demand of the horizon, within its fair part of what is left. */
     private long targetTokens(Share share) {
         double demand = share.demandTokensPerSecond * policy.horizonMillis() / MILLIS_PER_SECOND;
-        return (long) demand + policy.minimumGrantTokens();
+        long wanted = (long) demand + policy.minimumGrantTokens();
+        if (!share.accountSeen) {
+            return wanted;
+        }
+        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
+        double part = (share.demandTokensPerSecond + 1) / (share.demandTokensPerSecond + others + 1);
+        long fair = (long) (share.unspentTokens * policy.heldFraction() * part) - share.reservedTokens;
+        return Math.max(0, Math.min(wanted, fair));
     }
 
     private void adjust(Share share) {
@@ -236,11 +245,12 @@
             requestGrant(share, waiting - available + target, shortestNeed(share) - available);
             return;
         }
-        if (available < target * LOW_WATER_FRACTION && share.demandTokensPerSecond >= 1) {
+        if (available < (long) (target * LOW_WATER_FRACTION) && share.demandTokensPerSecond >= 1) {
             requestGrant(share, target - available, 0);
             return;
         }
-        if (available > target * EXCESS_FACTOR) {
+        double keep = share.wantedElsewhere ? target : target * EXCESS_FACTOR;
+        if (available > (long) keep) {
             giveBack(share, available - target);
         }
     }
@@ -265,7 +275,14 @@
         String askedFor = share.shareId;
         List<String> holders = holdersToRecord(share);
         Ledger.GrantRequest request = new Ledger.GrantRequest(
-                askedFor, identity.incarnation(), identity.vm(), share.requestSeq, tokens, minimumTokens, holders);
+                askedFor,
+                identity.incarnation(),
+                identity.vm(),
+                share.requestSeq,
+                tokens,
+                minimumTokens,
+                reportDemand(share),
+                holders);
         counters.grantRequests++;
         ledgers.get(share.partition)
                 .submit(
@@ -273,6 +290,11 @@
                         result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
     }
 
+    private static long reportDemand(Share share) {
+        share.reportedDemandTokensPerSecond = (long) share.demandTokensPerSecond;
+        return share.reportedDemandTokensPerSecond;
+    }
+
     private List<String> holdersToRecord(Share share) {
         if (share.heldSettleSeq > share.committedSettleSeq) {
             return new ArrayList<>(share.holders);
@@ -305,16 +327,30 @@
         share.grantedTokens = row.get().getGrantedTokens();
         share.holders.clear();
         share.holders.addAll(holders);
-        AccountState account = result.get().getAccountsOrThrow(share.budget);
         share.exhausted = row.get().getWantedTokens() > 0;
         if (share.exhausted) {
-            counters.shortages++;
-            shortage.announce(share.budget, askedFor, minimumTokens);
+            onExhausted(share, minimumTokens);
         }
-        counters.lastFreeTokens = Ledger.freeTokens(account);
+        observe(share, result.get());
         serveWaiters(share);
     }
 
+    private void onExhausted(Share share, long minimumTokens) {
+        counters.shortages++;
+        if (nowMillis >= share.nextNoticeAtMillis) {
+            share.nextNoticeAtMillis = nowMillis + NOTICE_MILLIS;
+            shortage.announce(share.budget, share.shareId, minimumTokens);
+        }
+    }
+
+    private static void observe(Share share, LedgerState state) {
+        AccountState account = state.getAccountsOrThrow(share.budget);
+        share.accountSeen = true;
+        share.unspentTokens = Ledger.unspentTokens(account);
+        share.fleetDemandTokensPerSecond = Ledger.demandTokensPerSecond(account);
+        share.wantedElsewhere = Ledger.wantedElsewhere(account, share.shareId);
+    }
+
     private void onRefused(Share share, Failure failure) {
         if (failure.kind() == ErrorKind.SHARE_LOST) {
             lose(share);
@@ -344,7 +380,7 @@
         counters.giveBacks++;
         ledgers.get(share.partition)
                 .submit(
-                        Ledger.giveBack(share.budget, askedFor, share.requestSeq, tokens),
+                        Ledger.giveBack(share.budget, askedFor, share.requestSeq, tokens, reportDemand(share)),
                         result -> onRequestDone(share, askedFor, 0, new ArrayList<>(share.holders), result));
     }
 
@@ -382,6 +418,7 @@
             lose(share);
             return;
         }
+        observe(share, result.get());
         share.committedSettleSeq = Math.max(share.committedSettleSeq, settlement.settleSeq());
         releaseBills(share, settlement.settleSeq());
     }
--- a/src/main/java/org/radishspan/cli/Commands.java
+++ b/src/main/java/org/radishspan/cli/Commands.java
@@ -15,6 +15,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.radishspan.bench.BudgetBench;
 import org.radishspan.demo.Demo;
 import org.radishspan.http.Json;
 import org.radishspan.router.RouterProcess;
@@ -63,7 +64,9 @@
                         "run a small stand-in for trials",
                         config(),
                         Commands::standIn),
-                new Command("demo", "", "run a whole fleet on loopback ports", demoOptions(), Commands::demo));
+                new Command("demo", "", "run a whole fleet on loopback ports", demoOptions(), Commands::demo),
+                new Command(
+                        "bench", "budget", "measure the decisions on virtual time", benchOptions(), Commands::bench));
     }
 
     private static Option option(String name, String argument, String description) {
@@ -127,6 +130,16 @@
         return new Options().addOption(flag("check", "send a few calls, check bills and balances, and exit"));
     }
 
+    private static Options benchOptions() {
+        return new Options().addOption(option("seed", "N", "the seed of everything random (default 1)"));
+    }
+
+    private static int bench(CommandLine line, PrintWriter out) throws Command.UsageException {
+        requireAction(argument(line, 0, "a benchmark"), List.of("budget"));
+        long seed = line.hasOption("seed") ? number(line, "seed", Long::parseLong) : 1;
+        return new BudgetBench(out, seed).run() ? ExitCode.OK : ExitCode.CHECK_FAILED;
+    }
+
     private static String readConfig(CommandLine line) throws Command.UsageException {
         String file = line.getOptionValue("config");
         if (file == null) {
--- a/src/main/java/org/radishspan/demo/Demo.java
+++ b/src/main/java/org/radishspan/demo/Demo.java
@@ -88,7 +88,7 @@
                 new RouterSettings.Caller(HOST, 0, 1_048_576),
                 new RouterSettings.Operator(HOST, 0, OPERATOR_KEY),
                 new RouterSettings.PeerPort(HOST, 0, "demo-secret"),
-                new RouterSettings.Platform(HOST, platform.port(), 1_000, 10_000, 200, 60, true),
+                new RouterSettings.Platform(HOST, platform.port(), 1_000, 10_000, 600, 180, true),
                 new RouterSettings.Storage(1, 2, 20, 3_600_000, 1_000),
                 SharePolicy.DEFAULT,
                 new RouterSettings.Requests(60_000, 5_000, 10_000, 10_000, 4_096, 256),
--- a/src/main/java/org/radishspan/platform/CallBudget.java
+++ b/src/main/java/org/radishspan/platform/CallBudget.java
@@ -13,8 +13,8 @@
 public final class CallBudget {
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    private final double callsPerSecond;
-    private final double burstCalls;
+    private double callsPerSecond;
+    private double burstCalls;
     private double tokens;
     private long refilledAtMillis;
     private boolean started;
@@ -32,6 +32,15 @@
         this.tokens = burstCalls;
     }
 
+    /** Changes the rate, for example because VMs came or went among which a total is divided. */
+    public void setRate(double newCallsPerSecond) {
+        if (newCallsPerSecond <= 0) {
+            throw new IllegalArgumentException("newCallsPerSecond must be positive: " + newCallsPerSecond);
+        }
+        callsPerSecond = newCallsPerSecond;
+        burstCalls = Math.max(1, newCallsPerSecond);
+    }
+
     /** Takes one call if the rate allows it. */
     public boolean tryTake(long nowMillis) {
         refill(nowMillis);
--- a/src/main/java/org/radishspan/platform/SharedObject.java
+++ b/src/main/java/org/radishspan/platform/SharedObject.java
@@ -18,7 +18,8 @@
  *
  * <p>A conflict re-reads the object and applies the mutations again. A write whose outcome is unknown is treated the
  * same way: as every mutation is idempotent, applying it to a state that already holds it changes nothing. A
- * mutation is refused only on the ground of a state read after the mutation was submitted.
+ * mutation is refused only on the ground of a state read after the mutation was submitted. While other VMs write the
+ * same object, it is read just before each write, as reads are cheaper than writes that meet a conflict.
  *
  * <pre>{@code
  * SharedObject<LedgerState> ledger = new SharedObject<>("ledger/0", LedgerState::parse, LedgerState::toByteArray, ports);
@@ -134,6 +135,7 @@
         }
     }
 
+    private static final long FRESH_MILLIS = 20;
     private static final long FIRST_BACKOFF_MILLIS = 10;
     private static final long MAX_BACKOFF_MILLIS = 2_000;
 
@@ -146,10 +148,12 @@
     private long version;
     private boolean busy;
     private boolean stale = true;
+    private boolean contended;
     private boolean readWanted;
     private long lastReadSubmitCount;
     private long submitCount;
     private long notBeforeMillis;
+    private long freshUntilMillis;
     private long backoffMillis;
     private long nowMillis;
 
@@ -212,7 +216,7 @@
             return;
         }
         S current = state;
-        if (stale || current == null) {
+        if (stale || current == null || (contended && nowMillis > freshUntilMillis)) {
             read();
             return;
         }
@@ -238,7 +242,9 @@
         readWanted = false;
         stale = false;
         lastReadSubmitCount = submittedBefore;
+        freshUntilMillis = nowMillis + FRESH_MILLIS;
         StoredObject stored = reply.get();
+        contended = stored.version() != version;
         if (stored.version() >= version) {
             state = codec.decode().apply(stored.value());
             version = stored.version();
@@ -299,6 +305,7 @@
     private void onWriteFailed(Failure failure, List<Ticket> batch) {
         if (failure.kind() == ErrorKind.CONFLICT) {
             counters.conflicts++;
+            contended = true;
         } else {
             counters.unknownOutcomes++;
         }
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -1,5 +1,6 @@
 package org.radishspan.router;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.vavr.control.Either;
@@ -32,6 +33,7 @@
 import org.radishspan.request.RequestSystem;
 import org.radishspan.routing.TargetChooser;
 import org.radishspan.routing.TargetTable;
+import org.radishspan.routing.TargetTable.ListedVm;
 
 /**
  * One router without its sockets: tables, and the systems that run over them each tick.
@@ -51,11 +53,11 @@
      */
     public record Ports(PlatformStore store, HttpTransport transport, PeerLink link, UniformRandomProvider random) {}
 
-    private static final double BURST_SECONDS = 1.0;
     private static final long RECOVERY_STAGGER_MILLIS = 2_000;
 
     private final RouterSettings settings;
     private final String incarnation;
+    private final SharedObject.Ports objectPorts;
     private final LedgerPartitions ledgers;
     private final JournalPartitions journals;
     private final ConfigurationSystem configuration;
@@ -77,7 +79,7 @@
         this.settings = settings;
         this.incarnation = incarnation;
         this.random = ports.random();
-        SharedObject.Ports objectPorts = objectPorts(settings, ports);
+        this.objectPorts = objectPorts(settings, ports);
         this.ledgers = new LedgerPartitions(settings.storage().ledgerPartitions(), objectPorts);
         this.journals = new JournalPartitions(settings.storage().journalPartitions(), objectPorts);
         this.configuration = new ConfigurationSystem(ports.store(), objectPorts);
@@ -97,7 +99,7 @@
                 peers::announceShortage,
                 peers::handOver,
                 peers::chooseHolders);
-        this.membership = new MembershipSystem(ports.store(), ports.transport(), targets, peers::replace);
+        this.membership = new MembershipSystem(ports.store(), ports.transport(), targets, this::onRouters);
         this.requests = new RequestSystem(
                 new RequestSystem.Ports(
                         shares,
@@ -119,8 +121,8 @@
         RouterSettings.Platform platform = settings.platform();
         return new SharedObject.Ports(
                 ports.store(),
-                new CallBudget(platform.readsPerSecond(), platform.readsPerSecond() * BURST_SECONDS),
-                new CallBudget(platform.writesPerSecond(), platform.writesPerSecond() * BURST_SECONDS),
+                new CallBudget(platform.fleetReadsPerSecond(), platform.fleetReadsPerSecond()),
+                new CallBudget(platform.fleetWritesPerSecond(), platform.fleetWritesPerSecond()),
                 ports.random(),
                 settings.storage().commitGapMillis());
     }
@@ -137,6 +139,15 @@
                 new Journal.Retention(storage.keepOutcomesMillis(), storage.maxIntents()));
     }
 
+    /** Divides the fleet's part of the platform's rates among the listed routers. */
+    private void onRouters(List<ListedVm> routers) {
+        peers.replace(routers);
+        double count = Math.max(1, routers.size());
+        RouterSettings.Platform platform = settings.platform();
+        objectPorts.reads().setRate(platform.fleetReadsPerSecond() / count);
+        objectPorts.writes().setRate(platform.fleetWritesPerSecond() / count);
+    }
+
     private int requestsInProgress() {
         return requests.inProgress();
     }
--- a/src/main/java/org/radishspan/router/RouterSettings.java
+++ b/src/main/java/org/radishspan/router/RouterSettings.java
@@ -65,8 +65,8 @@
      * @param port the port
      * @param timeoutMillis a call without an answer for so long has failed
      * @param watchMillis how long a watch waits
-     * @param readsPerSecond this VM's part of the platform's read rate
-     * @param writesPerSecond this VM's part of the platform's write rate
+     * @param fleetReadsPerSecond the reads of all routers together
+     * @param fleetWritesPerSecond the writes of all routers together
      * @param announce whether the router puts itself into the platform's list of VMs; for stand-ins only
      */
     public record Platform(
@@ -74,8 +74,8 @@
             int port,
             long timeoutMillis,
             long watchMillis,
-            int readsPerSecond,
-            int writesPerSecond,
+            int fleetReadsPerSecond,
+            int fleetWritesPerSecond,
             boolean announce) {}
 
     /**
--- a/src/main/java/org/radishspan/router/RouterSettingsReader.java
+++ b/src/main/java/org/radishspan/router/RouterSettingsReader.java
@@ -70,8 +70,8 @@
                 reader.port("platform", "port"),
                 reader.wholeNumber("platform", "timeout_millis", 1_000, 10, 60_000),
                 reader.wholeNumber("platform", "watch_millis", 20_000, 100, 600_000),
-                (int) reader.wholeNumber("platform", "reads_per_second", 100, 1, MAX_CALLS_PER_SECOND),
-                (int) reader.wholeNumber("platform", "writes_per_second", 30, 1, MAX_CALLS_PER_SECOND),
+                (int) reader.wholeNumber("platform", "fleet_reads_per_second", 1_200, 1, MAX_CALLS_PER_SECOND),
+                (int) reader.wholeNumber("platform", "fleet_writes_per_second", 250, 1, MAX_CALLS_PER_SECOND),
                 reader.yesOrNo("platform", "announce", false));
     }
 
@@ -89,6 +89,7 @@
         return new SharePolicy(
                 reader.wholeNumber("shares", "horizon_millis", usual.horizonMillis(), 100, MAX_MILLIS),
                 reader.wholeNumber("shares", "free_percent", (long) (usual.freeFraction() * PERCENT), 1, 100) / PERCENT,
+                reader.wholeNumber("shares", "held_percent", (long) (usual.heldFraction() * PERCENT), 1, 100) / PERCENT,
                 reader.wholeNumber("shares", "minimum_grant_tokens", usual.minimumGrantTokens(), 1, 1_000_000),
                 reader.wholeNumber("shares", "wait_millis", usual.waitMillis(), 0, 60_000),
                 reader.wholeNumber("shares", "retry_millis", usual.retryMillis(), 10, 60_000),
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -53,6 +53,8 @@
     private static final int PEER_PORT = 7_000;
     private static final int FAILURE_DOMAINS = 3;
     private static final long START_MILLIS = 1_000_000;
+    private static final int FLEET_READS_PER_SECOND = 1_200;
+    private static final int FLEET_WRITES_PER_SECOND = 250;
     private static final long LINK_MILLIS = 1;
     private static final long SETTLE_DOWN_MILLIS = 2_000;
 
@@ -66,7 +68,6 @@
         private long tickMillis = 10;
         private long tokenMillis = 20;
         private long deadlineMillis = 30_000;
-        private int writesPerSecond = 30;
         private boolean tickOnEvents = true;
         private SharePolicy policy = SharePolicy.DEFAULT;
 
@@ -115,12 +116,6 @@
             return this;
         }
 
-        /** Sets each router's part of the platform's write rate. */
-        public Builder writesPerSecond(int count) {
-            writesPerSecond = count;
-            return this;
-        }
-
         /** Sets whether a router ticks at each event, as a real one does, or only on time. */
         public Builder tickOnEvents(boolean value) {
             tickOnEvents = value;
@@ -230,7 +225,8 @@
                 new RouterSettings.Caller("vm", 0, 1_048_576),
                 new RouterSettings.Operator("vm", 0, "operator"),
                 new RouterSettings.PeerPort("vm", PEER_PORT, "secret"),
-                new RouterSettings.Platform("vm", 0, 1_000, 10_000, 100, parts.writesPerSecond, false),
+                new RouterSettings.Platform(
+                        "vm", 0, 1_000, 10_000, FLEET_READS_PER_SECOND, FLEET_WRITES_PER_SECOND, false),
                 new RouterSettings.Storage(parts.ledgerPartitions, 2, parts.commitGapMillis, 86_400_000, 5_000),
                 parts.policy,
                 new RouterSettings.Requests(parts.deadlineMillis, 2_000, 5_000, 10_000, 4_096, 256),
--- a/src/test/java/org/radishspan/budget/LedgerTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerTest.java
@@ -46,7 +46,7 @@
     private static Mutation<LedgerState> grant(String share, long seq, long tokens, String... holders) {
         return Ledger.grant(
                 BUDGET,
-                new Ledger.GrantRequest(share, share.substring(0, 2), "vm", seq, tokens, 0, List.of(holders)),
+                new Ledger.GrantRequest(share, share.substring(0, 2), "vm", seq, tokens, 0, 0, List.of(holders)),
                 GrantRule.asAsked());
     }
 
@@ -103,8 +103,8 @@
         public void giveBackOnlyWhatTheyDidNotSpend() {
             LedgerState state = apply(withLimit(100), grant(SHARE, 1, 80));
             state = apply(state, Ledger.settle(BUDGET, settlement(SHARE, 1, 30)));
-            assertEquals(refusal(state, Ledger.giveBack(BUDGET, SHARE, 2, 60)), ErrorKind.INTERNAL);
-            state = apply(state, Ledger.giveBack(BUDGET, SHARE, 2, 50));
+            assertEquals(refusal(state, Ledger.giveBack(BUDGET, SHARE, 2, 60, 0)), ErrorKind.INTERNAL);
+            state = apply(state, Ledger.giveBack(BUDGET, SHARE, 2, 50, 0));
             assertEquals(Ledger.freeTokens(account(state)), 70);
         }
 
