--- a/src/main/java/org/radishspan/budget/HeldBillSystem.java
+++ b/src/main/java/org/radishspan/budget/HeldBillSystem.java
@@ -10,7 +10,6 @@
 import org.radishspan.platform.SharedObject;
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.HolderState;
-import org.radishspan.proto.LedgerState;
 import org.radishspan.proto.ShareState;
 
 /**
@@ -99,15 +98,15 @@
     }
 
     private void scan(int partition) {
-        SharedObject<LedgerState> ledger = ledgers.get(partition);
-        LedgerState state = ledger.state();
+        SharedObject<LedgerBook> ledger = ledgers.get(partition);
+        LedgerBook state = ledger.state();
         Long scanned = scannedVersions.get(partition);
         if (state == null || (scanned != null && scanned == ledger.version())) {
             return;
         }
         List<String> ready = new ArrayList<>();
         boolean waiting = false;
-        for (AccountState account : state.getAccountsMap().values()) {
+        for (AccountState account : state.accounts()) {
             for (ShareState share : account.getSharesList()) {
                 if (!awaitsRelease(share)) {
                     continue;
@@ -137,7 +136,7 @@
         return false;
     }
 
-    private void release(SharedObject<LedgerState> ledger, List<String> shareIds) {
+    private void release(SharedObject<LedgerBook> ledger, List<String> shareIds) {
         List<String> fresh = new ArrayList<>(shareIds);
         fresh.removeIf(releasedShares::contains);
         if (fresh.isEmpty()) {
--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -6,7 +6,6 @@
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
@@ -15,7 +14,6 @@
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.AuditState;
 import org.radishspan.proto.HolderState;
-import org.radishspan.proto.LedgerState;
 import org.radishspan.proto.ShareState;
 import org.radishspan.proto.TransferState;
 
@@ -30,13 +28,12 @@
  */
 public final class Ledger {
     /** Reads and writes a ledger object. */
-    public static final Codec<LedgerState> CODEC = new Codec<>(Ledger::decode, LedgerState::toByteArray);
+    public static final Codec<LedgerBook> CODEC = new Codec<>(LedgerBook::decode, LedgerBook::encode);
 
     /** The number of a share's first request, which creates it. */
     public static final long FIRST_REQUEST = 1;
 
     private static final int MAX_OPERATION_IDS = 1_000;
-    private static final int MAX_AUDIT_ENTRIES = 500;
 
     private Ledger() {}
 
@@ -83,9 +80,9 @@
     public record Operation(String actor, String operationId, long atMillis) {}
 
     /** Creates an account. */
-    public static Mutation<LedgerState> create(String budget, long limitTokens, String reclaim, Operation operation) {
+    public static Mutation<LedgerBook> create(String budget, long limitTokens, String reclaim, Operation operation) {
         return state -> {
-            AccountState existing = state.getAccountsMap().get(budget);
+            AccountState existing = state.account(budget);
             if (existing != null && existing.getOperationIdsList().contains(operation.operationId())) {
                 return Either.right(state);
             }
@@ -99,22 +96,21 @@
                     .addOperationIds(operation.operationId())
                     .build();
             AuditState audit = audit(operation, "budget create " + budget, "", "limit " + limitTokens);
-            return Either.right(
-                    withAudit(state, audit).putAccounts(budget, created).build());
+            return Either.right(state.with(audit).with(created));
         };
     }
 
     /** Adds tokens to the limit, once per operation id. */
-    public static Mutation<LedgerState> topUp(String budget, long tokens, Operation operation) {
+    public static Mutation<LedgerBook> topUp(String budget, long tokens, Operation operation) {
         return changeLimit(budget, operation, "budget topup " + budget, limit -> limit + tokens);
     }
 
     /** Sets the limit, which may not fall below what is spent or granted. */
-    public static Mutation<LedgerState> setLimit(String budget, long limitTokens, Operation operation) {
+    public static Mutation<LedgerBook> setLimit(String budget, long limitTokens, Operation operation) {
         return changeLimit(budget, operation, "budget limit " + budget, limit -> limitTokens);
     }
 
-    private static Mutation<LedgerState> changeLimit(
+    private static Mutation<LedgerBook> changeLimit(
             String budget, Operation operation, String action, UnaryOperator<Long> change) {
         return onAccount(budget, (state, account) -> {
             if (account.getOperationIdsList().contains(operation.operationId())) {
@@ -136,13 +132,12 @@
                     .addOperationIds(operation.operationId())
                     .build();
             AuditState audit = audit(operation, action, "limit " + account.getLimitTokens(), "limit " + limit);
-            return Either.right(
-                    withAudit(state, audit).putAccounts(budget, changed).build());
+            return Either.right(state.with(audit).with(changed));
         });
     }
 
     /** Grants tokens to a share, as many as the policy allows; refused if less than the asked minimum is free. */
-    public static Mutation<LedgerState> grant(String budget, GrantRequest request, GrantRule rule) {
+    public static Mutation<LedgerBook> grant(String budget, GrantRequest request, GrantRule rule) {
         return onAccount(budget, (state, account) -> {
             int index = indexOf(account, request.shareId());
             if (index < 0 && request.requestSeq() > FIRST_REQUEST) {
@@ -168,7 +163,7 @@
     }
 
     /** Gives tokens of a share back; the router has stopped counting on them before it asks. */
-    public static Mutation<LedgerState> giveBack(
+    public static Mutation<LedgerBook> giveBack(
             String budget, String shareId, long requestSeq, long tokens, long demandTokensPerSecond) {
         return onShare(budget, shareId, (state, account, index) -> {
             ShareState share = account.getShares(index);
@@ -190,7 +185,7 @@
     }
 
     /** Raises the running totals of an open share, as its own router reports them. */
-    public static Mutation<LedgerState> settle(String budget, Settlement settlement) {
+    public static Mutation<LedgerBook> settle(String budget, Settlement settlement) {
         return onShare(budget, settlement.shareId(), (state, account, index) -> {
             ShareState share = account.getShares(index);
             if (share.getSettleSeq() >= settlement.settleSeq()) {
@@ -204,7 +199,7 @@
     }
 
     /** Raises the running totals of a share, as a holder reports them; also after the share was closed. */
-    public static Mutation<LedgerState> settleHeld(String budget, String holder, Settlement settlement) {
+    public static Mutation<LedgerBook> settleHeld(String budget, String holder, Settlement settlement) {
         return onShare(budget, settlement.shareId(), (state, account, index) -> {
             ShareState share = account.getShares(index);
             if (share.getSettleSeq() >= settlement.settleSeq()) {
@@ -218,8 +213,8 @@
         });
     }
 
-    private static Either<Failure, LedgerState> raise(
-            LedgerState state, AccountState account, int index, Settlement settlement) {
+    private static Either<Failure, LedgerBook> raise(
+            LedgerBook state, AccountState account, int index, Settlement settlement) {
         ShareState share = account.getShares(index);
         ShareState changed = share.toBuilder()
                 .setSettleSeq(settlement.settleSeq())
@@ -235,7 +230,7 @@
     }
 
     /** Moves granted tokens between two shares, up to a running total for the pair. */
-    public static Mutation<LedgerState> transfer(String budget, String fromShare, String toShare, long totalTokens) {
+    public static Mutation<LedgerBook> transfer(String budget, String fromShare, String toShare, long totalTokens) {
         return onShare(budget, toShare, (state, account, toIndex) -> {
             ShareState to = account.getShares(toIndex);
             long moved = to.getTransfersInList().stream()
@@ -256,7 +251,7 @@
                     .setShares(fromIndex, from.toBuilder().setGrantedTokens(from.getGrantedTokens() - tokens))
                     .setShares(toIndex, withTransfer(to, fromShare, totalTokens, tokens))
                     .build();
-            return Either.right(state.toBuilder().putAccounts(budget, changed).build());
+            return Either.right(state.with(changed));
         });
     }
 
@@ -274,9 +269,9 @@
     }
 
     /** Closes every share of a router process that is taken for dead; its own reports are refused from then on. */
-    public static Mutation<LedgerState> close(String incarnation) {
+    public static Mutation<LedgerBook> close(String incarnation) {
         return onShares(
-                share -> share.getIncarnation().equals(incarnation),
+                share -> share.getIncarnation().equals(incarnation) && !share.getClosed(),
                 share -> share.toBuilder().setClosed(true).build());
     }
 
@@ -289,9 +284,9 @@
     public record KeyedBill(long keyedSeq, long tokens) {}
 
     /** Adds the bills found in the closed journals to a closed share, once. */
-    public static Mutation<LedgerState> sweepJournals(String budget, String shareId, List<KeyedBill> bills) {
+    public static Mutation<LedgerBook> sweepJournals(String budget, String shareId, List<KeyedBill> bills) {
         return state -> {
-            AccountState account = state.getAccountsMap().get(budget);
+            AccountState account = state.account(budget);
             int index = account == null ? -1 : indexOf(account, shareId);
             if (account == null || index < 0 || account.getShares(index).getJournalsSwept()) {
                 return Either.right(state);
@@ -310,16 +305,16 @@
     }
 
     /** Says that a holder has posted all it held of closed shares and takes nothing more for them. */
-    public static Mutation<LedgerState> release(String holder, List<String> shareIds) {
+    public static Mutation<LedgerBook> release(String holder, List<String> shareIds) {
         return onShares(
                 share -> shareIds.contains(share.getShareId()) && unreleased(share, holder),
                 share -> withReleased(share, holder));
     }
 
     /** Removes a share whose router stops with nothing outstanding. */
-    public static Mutation<LedgerState> retire(String budget, Settlement last) {
+    public static Mutation<LedgerBook> retire(String budget, Settlement last) {
         return state -> {
-            AccountState account = state.getAccountsMap().get(budget);
+            AccountState account = state.account(budget);
             int index = account == null ? -1 : indexOf(account, last.shareId());
             if (account == null || index < 0) {
                 return Either.right(state);
@@ -329,9 +324,9 @@
     }
 
     /** Gives the unspent rest of a closed share back on an operator's word. */
-    public static Mutation<LedgerState> releaseForfeit(String budget, String shareId, Operation operation) {
+    public static Mutation<LedgerBook> releaseForfeit(String budget, String shareId, Operation operation) {
         return state -> {
-            AccountState account = state.getAccountsMap().get(budget);
+            AccountState account = state.account(budget);
             int index = account == null ? -1 : indexOf(account, shareId);
             if (account == null || index < 0) {
                 return Either.right(state);
@@ -345,14 +340,14 @@
                     "budget release " + budget,
                     "share " + shareId + " holds " + (share.getGrantedTokens() - spentTokens(share)),
                     "released");
-            return Either.right(removeShare(withAudit(state, audit).build(), budget, shareId));
+            return Either.right(removeShare(state.with(audit), budget, shareId));
         };
     }
 
     /** Removes closed shares of which every bill is known and whose account lets their rest be given back. */
-    public static LedgerState finalizeClosed(LedgerState state) {
-        LedgerState result = state;
-        for (AccountState account : state.getAccountsMap().values()) {
+    public static LedgerBook finalizeClosed(LedgerBook state) {
+        LedgerBook result = state;
+        for (AccountState account : state.accounts()) {
             for (ShareState share : account.getSharesList()) {
                 if (settledForGood(account, share)) {
                     result = removeShare(result, account.getBudget(), share.getShareId());
@@ -418,8 +413,8 @@
     }
 
     /** Returns a share of an account. */
-    public static Optional<ShareState> share(LedgerState state, String budget, String shareId) {
-        AccountState account = state.getAccountsMap().get(budget);
+    public static Optional<ShareState> share(LedgerBook state, String budget, String shareId) {
+        AccountState account = state.account(budget);
         int index = account == null ? -1 : indexOf(account, shareId);
         return account == null || index < 0 ? Optional.empty() : Optional.of(account.getShares(index));
     }
@@ -463,26 +458,24 @@
                 .anyMatch(candidate -> candidate.getIncarnation().equals(holder) && !candidate.getReleased());
     }
 
-    private static LedgerState removeShare(LedgerState state, String budget, String shareId) {
-        AccountState account = state.getAccountsOrThrow(budget);
+    private static LedgerBook removeShare(LedgerBook state, String budget, String shareId) {
+        AccountState account = state.find(budget).orElseThrow();
         int index = indexOf(account, shareId);
         AccountState changed = account.toBuilder()
                 .setClosedSpentTokens(account.getClosedSpentTokens() + spentTokens(account.getShares(index)))
                 .removeShares(index)
                 .build();
-        return state.toBuilder().putAccounts(budget, changed).build();
+        return state.with(changed);
     }
 
-    private static LedgerState putShare(LedgerState state, AccountState account, int index, ShareState share) {
+    private static LedgerBook putShare(LedgerBook state, AccountState account, int index, ShareState share) {
         AccountState.Builder builder = account.toBuilder();
         if (index < 0) {
             builder.addShares(share);
         } else {
             builder.setShares(index, share);
         }
-        return state.toBuilder()
-                .putAccounts(account.getBudget(), builder.build())
-                .build();
+        return state.with(builder.build());
     }
 
     private static int indexOf(AccountState account, String shareId) {
@@ -501,13 +494,13 @@
     /** A change of one account. */
     @FunctionalInterface
     private interface ShareChange {
-        Either<Failure, LedgerState> apply(LedgerState state, AccountState account, int index);
+        Either<Failure, LedgerBook> apply(LedgerBook state, AccountState account, int index);
     }
 
-    private static Mutation<LedgerState> onAccount(
-            String budget, BiFunction<LedgerState, AccountState, Either<Failure, LedgerState>> change) {
+    private static Mutation<LedgerBook> onAccount(
+            String budget, BiFunction<LedgerBook, AccountState, Either<Failure, LedgerBook>> change) {
         return state -> {
-            AccountState account = state.getAccountsMap().get(budget);
+            AccountState account = state.account(budget);
             if (account == null) {
                 return Either.left(Failure.notRun(ErrorKind.NOT_FOUND, "no budget named " + budget));
             }
@@ -515,7 +508,7 @@
         };
     }
 
-    private static Mutation<LedgerState> onShare(String budget, String shareId, ShareChange change) {
+    private static Mutation<LedgerBook> onShare(String budget, String shareId, ShareChange change) {
         return onAccount(budget, (state, account) -> {
             int index = indexOf(account, shareId);
             if (index < 0) {
@@ -525,15 +518,15 @@
         });
     }
 
-    private static Mutation<LedgerState> onShares(Predicate<ShareState> which, UnaryOperator<ShareState> change) {
+    private static Mutation<LedgerBook> onShares(Predicate<ShareState> which, UnaryOperator<ShareState> change) {
         return state -> {
-            LedgerState.Builder builder = state.toBuilder();
-            for (AccountState account : state.getAccountsMap().values()) {
+            LedgerBook changed = state;
+            for (AccountState account : state.accounts()) {
                 if (account.getSharesList().stream().anyMatch(which)) {
-                    builder.putAccounts(account.getBudget(), changeShares(account, which, change));
+                    changed = changed.with(changeShares(account, which, change));
                 }
             }
-            return Either.right(finalizeClosed(builder.build()));
+            return Either.right(finalizeClosed(changed));
         };
     }
 
@@ -558,20 +551,4 @@
                 .setAfter(after)
                 .build();
     }
-
-    private static LedgerState.Builder withAudit(LedgerState state, AuditState audit) {
-        LedgerState.Builder builder = state.toBuilder().addAudit(audit);
-        while (builder.getAuditCount() > MAX_AUDIT_ENTRIES) {
-            builder.removeAudit(0);
-        }
-        return builder;
-    }
-
-    private static LedgerState decode(byte[] bytes) {
-        try {
-            return LedgerState.parseFrom(bytes);
-        } catch (InvalidProtocolBufferException e) {
-            throw new IllegalStateException("the ledger object holds no ledger", e);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/radishspan/budget/LedgerGateway.java
@@ -0,0 +1,173 @@
+package org.radishspan.budget;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.radishspan.proto.LedgerAnswer;
+import org.radishspan.proto.LedgerCall;
+import org.radishspan.proto.LedgerOp;
+import org.radishspan.proto.LedgerResult;
+
+/**
+ * Brings changes of ledgers to the router that commits them.
+ *
+ * <p>For each ledger one router, the first by rendezvous hashing among those alive, commits what all others send, many
+ * changes in one write. Who that is, is a hint: a router that hears nothing back commits its changes itself, and two
+ * routers that both believe they are first are as safe as one, as every change is idempotent.
+ */
+public final class LedgerGateway {
+
+    /** Finds the router that commits for a ledger, and sends to it. */
+    public interface Combiners {
+        /** Returns the VM that commits for a partition; empty text if it is this one. */
+        String combinerOf(int partition);
+
+        /** Sends changes to another router; they may be lost. */
+        void send(String vm, LedgerCall call);
+
+        /** Notes that another router did not answer in time. */
+        void onUnanswered(String vm);
+
+        /** Sends results back; they may be lost. */
+        void reply(String vm, LedgerAnswer answer);
+    }
+
+    private static final long ANSWER_MILLIS = 1_000;
+
+    private record Queued(LedgerOp op, Consumer<LedgerResult> done) {}
+
+    private record SentCall(String vm, int partition, List<Queued> ops, long untilMillis) {}
+
+    private final LedgerPartitions ledgers;
+    private final Combiners combiners;
+    private final Map<Integer, List<Queued>> outbox = new LinkedHashMap<>();
+    private final Map<Long, SentCall> sentCalls = new LinkedHashMap<>();
+    private long callCount;
+    private long remoteOps;
+    private long localOps;
+    private long takenBack;
+
+    /** Creates a gateway to ledgers. */
+    public LedgerGateway(LedgerPartitions ledgers, Combiners combiners) {
+        this.ledgers = ledgers;
+        this.combiners = combiners;
+    }
+
+    /** Returns the number of the ledger that holds a budget. */
+    public int partitionOf(String budget) {
+        return ledgers.partitionOf(budget);
+    }
+
+    /** Returns the changes sent to other routers. */
+    public long remoteOps() {
+        return remoteOps;
+    }
+
+    /** Returns the changes that this router committed itself. */
+    public long localOps() {
+        return localOps;
+    }
+
+    /** Returns the changes that came back unanswered and were committed here. */
+    public long takenBack() {
+        return takenBack;
+    }
+
+    /** Queues a change; the consumer is called once, when the change is committed or refused. */
+    void submit(int partition, LedgerOp op, Consumer<LedgerResult> done) {
+        outbox.computeIfAbsent(partition, ignored -> new ArrayList<>()).add(new Queued(op, done));
+    }
+
+    /** Sends what is queued, and takes back what was not answered in time. */
+    public void tick(long nowMillis) {
+        takeBack(nowMillis);
+        outbox.forEach((partition, ops) -> {
+            String vm = combiners.combinerOf(partition);
+            if (vm.isEmpty()) {
+                commitHere(partition, ops);
+                return;
+            }
+            send(vm, partition, ops, nowMillis);
+        });
+        outbox.clear();
+    }
+
+    private void commitHere(int partition, List<Queued> ops) {
+        localOps += ops.size();
+        for (Queued queued : ops) {
+            ledgers.get(partition)
+                    .submit(
+                            LedgerOps.mutation(queued.op()),
+                            outcome -> queued.done().accept(LedgerOps.result(queued.op(), outcome)));
+        }
+    }
+
+    private void send(String vm, int partition, List<Queued> ops, long nowMillis) {
+        callCount++;
+        remoteOps += ops.size();
+        sentCalls.put(callCount, new SentCall(vm, partition, ops, nowMillis + ANSWER_MILLIS));
+        LedgerCall.Builder call = LedgerCall.newBuilder().setCallId(callCount).setPartition(partition);
+        ops.forEach(queued -> call.addOps(queued.op()));
+        combiners.send(vm, call.build());
+    }
+
+    private void takeBack(long nowMillis) {
+        List<SentCall> late = new ArrayList<>();
+        sentCalls.values().removeIf(call -> {
+            boolean due = nowMillis >= call.untilMillis();
+            if (due) {
+                late.add(call);
+            }
+            return due;
+        });
+        for (SentCall call : late) {
+            takenBack += call.ops().size();
+            combiners.onUnanswered(call.vm());
+            commitHere(call.partition(), call.ops());
+        }
+    }
+
+    /** Commits what another router sent. */
+    public void onCall(String vm, LedgerCall call) {
+        if (call.getPartition() < 0 || call.getPartition() >= ledgers.all().size()) {
+            return;
+        }
+        LedgerResult[] results = new LedgerResult[call.getOpsCount()];
+        int[] open = {results.length};
+        for (int i = 0; i < results.length; i++) {
+            int index = i;
+            LedgerOp op = call.getOps(i);
+            ledgers.get(call.getPartition()).submit(LedgerOps.mutation(op), outcome -> {
+                results[index] = LedgerOps.result(op, outcome);
+                open[0]--;
+                if (open[0] == 0) {
+                    combiners.reply(
+                            vm,
+                            LedgerAnswer.newBuilder()
+                                    .setCallId(call.getCallId())
+                                    .addAllResults(List.of(results))
+                                    .build());
+                }
+            });
+        }
+    }
+
+    /** Takes the results of a call; those of a call that was taken back are left to the commit here. */
+    public void onAnswer(LedgerAnswer answer) {
+        SentCall call = sentCalls.remove(answer.getCallId());
+        if (call == null || call.ops().size() != answer.getResultsCount()) {
+            return;
+        }
+        for (int i = 0; i < call.ops().size(); i++) {
+            call.ops().get(i).done().accept(answer.getResults(i));
+        }
+    }
+
+    /** Returns whether nothing waits for an answer. */
+    public boolean idle() {
+        return outbox.isEmpty() && sentCalls.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -0,0 +1,151 @@
+package org.radishspan.budget;
+
+import java.util.Locale;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.platform.SharedObject.Mutation;
+import org.radishspan.proto.AccountState;
+import org.radishspan.proto.GiveBackOp;
+import org.radishspan.proto.GrantOp;
+import org.radishspan.proto.LedgerOp;
+import org.radishspan.proto.LedgerResult;
+import org.radishspan.proto.SettleOp;
+import org.radishspan.proto.ShareState;
+
+/** Changes of a ledger in a form that can be sent to the router that commits them. */
+final class LedgerOps {
+    private LedgerOps() {}
+
+    static LedgerOp grant(String budget, Ledger.GrantRequest request, double freeFraction) {
+        return LedgerOp.newBuilder()
+                .setBudget(budget)
+                .setGrant(GrantOp.newBuilder()
+                        .setShareId(request.shareId())
+                        .setIncarnation(request.incarnation())
+                        .setVm(request.vm())
+                        .setRequestSeq(request.requestSeq())
+                        .setTokens(request.tokens())
+                        .setMinimumTokens(request.minimumTokens())
+                        .setDemandTokensPerSecond(request.demandTokensPerSecond())
+                        .addAllHolders(request.holders())
+                        .setFreeFraction(freeFraction))
+                .build();
+    }
+
+    static LedgerOp giveBack(String budget, String shareId, long requestSeq, long tokens, long demandTokensPerSecond) {
+        return LedgerOp.newBuilder()
+                .setBudget(budget)
+                .setGiveBack(GiveBackOp.newBuilder()
+                        .setShareId(shareId)
+                        .setRequestSeq(requestSeq)
+                        .setTokens(tokens)
+                        .setDemandTokensPerSecond(demandTokensPerSecond))
+                .build();
+    }
+
+    static LedgerOp settle(String budget, Ledger.Settlement settlement) {
+        return LedgerOp.newBuilder()
+                .setBudget(budget)
+                .setSettle(settleOp(settlement))
+                .build();
+    }
+
+    static LedgerOp retire(String budget, Ledger.Settlement last) {
+        return LedgerOp.newBuilder().setBudget(budget).setRetire(settleOp(last)).build();
+    }
+
+    private static SettleOp settleOp(Ledger.Settlement settlement) {
+        return SettleOp.newBuilder()
+                .setShareId(settlement.shareId())
+                .setSettleSeq(settlement.settleSeq())
+                .setSpentTokens(settlement.spentTokens())
+                .setKeyedSeq(settlement.keyedSeq())
+                .setKeyedSpentTokens(settlement.keyedSpentTokens())
+                .build();
+    }
+
+    /** Returns the change as a mutation of the ledger. */
+    static Mutation<LedgerBook> mutation(LedgerOp op) {
+        return switch (op.getChangeCase()) {
+            case GRANT -> Ledger.grant(op.getBudget(), request(op.getGrant()), rule(op.getGrant()));
+            case GIVE_BACK -> {
+                GiveBackOp back = op.getGiveBack();
+                yield Ledger.giveBack(
+                        op.getBudget(),
+                        back.getShareId(),
+                        back.getRequestSeq(),
+                        back.getTokens(),
+                        back.getDemandTokensPerSecond());
+            }
+            case SETTLE -> Ledger.settle(op.getBudget(), settlement(op.getSettle()));
+            case RETIRE -> Ledger.retire(op.getBudget(), settlement(op.getRetire()));
+            case CHANGE_NOT_SET ->
+                book -> Either.left(Failure.notRun(ErrorKind.INVALID_REQUEST, "a ledger change without content"));
+        };
+    }
+
+    private static Ledger.GrantRequest request(GrantOp grant) {
+        return new Ledger.GrantRequest(
+                grant.getShareId(),
+                grant.getIncarnation(),
+                grant.getVm(),
+                grant.getRequestSeq(),
+                grant.getTokens(),
+                grant.getMinimumTokens(),
+                grant.getDemandTokensPerSecond(),
+                grant.getHoldersList());
+    }
+
+    private static GrantRule rule(GrantOp grant) {
+        double fraction = grant.getFreeFraction();
+        return fraction > 0 && fraction <= 1 ? GrantRule.fairPart(fraction) : GrantRule.asAsked();
+    }
+
+    private static Ledger.Settlement settlement(SettleOp op) {
+        return new Ledger.Settlement(
+                op.getShareId(), op.getSettleSeq(), op.getSpentTokens(), op.getKeyedSeq(), op.getKeyedSpentTokens());
+    }
+
+    private static String shareId(LedgerOp op) {
+        return switch (op.getChangeCase()) {
+            case GRANT -> op.getGrant().getShareId();
+            case GIVE_BACK -> op.getGiveBack().getShareId();
+            case SETTLE -> op.getSettle().getShareId();
+            case RETIRE -> op.getRetire().getShareId();
+            case CHANGE_NOT_SET -> "";
+        };
+    }
+
+    /** Returns what a change came to, in a form that can be sent back. */
+    static LedgerResult result(LedgerOp op, Either<Failure, LedgerBook> outcome) {
+        if (outcome.isLeft()) {
+            Failure failure = outcome.getLeft();
+            return LedgerResult.newBuilder()
+                    .setErrorKind(failure.kind().wireName())
+                    .setErrorMessage(failure.message())
+                    .build();
+        }
+        LedgerResult.Builder builder = LedgerResult.newBuilder();
+        AccountState account = outcome.get().account(op.getBudget());
+        if (account != null) {
+            Optional<ShareState> share = Ledger.share(outcome.get(), op.getBudget(), shareId(op));
+            share.ifPresent(builder::setShare);
+            builder.setUnspentTokens(Ledger.unspentTokens(account));
+            builder.setDemandTokensPerSecond(Ledger.demandTokensPerSecond(account));
+            builder.setWantedElsewhere(Ledger.wantedElsewhere(account, shareId(op)));
+        }
+        return builder.build();
+    }
+
+    /** Returns the failure that a result carries. */
+    static Optional<Failure> failure(LedgerResult result) {
+        if (result.getErrorKind().isEmpty()) {
+            return Optional.empty();
+        }
+        ErrorKind kind = ErrorKind.valueOf(result.getErrorKind().toUpperCase(Locale.ROOT));
+        return Optional.of(Failure.ran(kind, result.getErrorMessage()));
+    }
+}
--- a/src/main/java/org/radishspan/budget/LedgerPartitions.java
+++ b/src/main/java/org/radishspan/budget/LedgerPartitions.java
@@ -5,13 +5,12 @@
 
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.radishspan.platform.SharedObject;
-import org.radishspan.proto.LedgerState;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 /** The ledger objects, among which budgets are divided by a hash of their names. */
 public final class LedgerPartitions {
-    private final List<SharedObject<LedgerState>> partitions = new ArrayList<>();
+    private final List<SharedObject<LedgerBook>> partitions = new ArrayList<>();
 
     /** Creates the objects {@code ledger/0} to {@code ledger/(count-1)}. */
     public LedgerPartitions(int count, SharedObject.Ports ports) {
@@ -30,23 +29,23 @@
     }
 
     /** Returns a partition by number. */
-    public SharedObject<LedgerState> get(int partition) {
+    public SharedObject<LedgerBook> get(int partition) {
         return partitions.get(partition);
     }
 
     /** Returns the partition that holds a budget. */
-    public SharedObject<LedgerState> of(String budget) {
+    public SharedObject<LedgerBook> of(String budget) {
         return get(partitionOf(budget));
     }
 
     /** Returns every partition. */
-    public List<SharedObject<LedgerState>> all() {
+    public List<SharedObject<LedgerBook>> all() {
         return partitions;
     }
 
     /** Lets every partition send what is due. */
     public void tick(long nowMillis) {
-        for (SharedObject<LedgerState> partition : partitions) {
+        for (SharedObject<LedgerBook> partition : partitions) {
             partition.tick(nowMillis);
         }
     }
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -39,6 +39,8 @@
     long settleSubmittedAtMillis;
     boolean requestInFlight;
     boolean settleInFlight;
+    boolean retiring;
+    long usedAtMillis;
     long nextRequestAtMillis;
     long nextHandoverAtMillis;
     double demandTokensPerSecond;
@@ -106,7 +108,7 @@
     }
 
     boolean tryReserve(long tokens) {
-        if (availableTokens() < tokens) {
+        if (retiring || availableTokens() < tokens) {
             return false;
         }
         reservedTokens += tokens;
@@ -184,6 +186,7 @@
         requestInFlight = false;
         settleInFlight = false;
         accountSeen = false;
+        retiring = false;
         return lost;
     }
 }
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -8,9 +8,7 @@
 import io.vavr.control.Either;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
-import org.radishspan.proto.AccountState;
-import org.radishspan.proto.LedgerState;
-import org.radishspan.proto.ShareState;
+import org.radishspan.proto.LedgerResult;
 
 /**
  * Takes, spends, settles and gives back shares of budgets.
@@ -55,11 +53,12 @@
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double LOW_WATER_FRACTION = 0.9;
     private static final double EXCESS_FACTOR = 1.25;
+    private static final long IDLE_MILLIS = 15_000;
     private static final long NOTICE_MILLIS = 1_000;
     private static final long HANDOVER_RETRY_MILLIS = 200;
 
     private final Identity identity;
-    private final LedgerPartitions ledgers;
+    private final LedgerGateway ledgers;
     private final ShareTable table = new ShareTable();
     private final ShortageNotice shortage;
     private final BillHandover handover;
@@ -73,7 +72,7 @@
     /** Creates the system. */
     public ShareSystem(
             Identity identity,
-            LedgerPartitions ledgers,
+            LedgerGateway ledgers,
             SharePolicy policy,
             ShortageNotice shortage,
             BillHandover handover,
@@ -109,6 +108,7 @@
     /** Reserves tokens now or as soon as the share has them; refused when none came in time. */
     public void reserve(String budget, long tokens, Consumer<Either<Failure, Reservation>> done) {
         Share share = table.getOrCreate(budget, this::newShare);
+        share.usedAtMillis = nowMillis;
         if (share.waiters.isEmpty() && share.tryReserve(tokens)) {
             done.accept(Either.right(new Reservation(budget, share.shareId, tokens)));
             return;
@@ -165,7 +165,7 @@
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
         boolean measure = tickMillis - rateAtMillis >= RATE_PERIOD_MILLIS;
-        for (Share share : table.rows()) {
+        for (Share share : List.copyOf(table.rows())) {
             if (measure) {
                 measureDemand(share, tickMillis - rateAtMillis);
             }
@@ -238,6 +238,10 @@
         if (share.requestInFlight || nowMillis < share.nextRequestAtMillis) {
             return;
         }
+        if (nowMillis - share.usedAtMillis >= IDLE_MILLIS && share.settled() && share.waiters.isEmpty()) {
+            retire(share);
+            return;
+        }
         long waiting = waitingTokens(share);
         long available = share.availableTokens();
         long target = targetTokens(share);
@@ -284,10 +288,10 @@
                 reportDemand(share),
                 holders);
         counters.grantRequests++;
-        ledgers.get(share.partition)
-                .submit(
-                        Ledger.grant(share.budget, request, GrantRule.fairPart(policy.freeFraction())),
-                        result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
+        ledgers.submit(
+                share.partition,
+                LedgerOps.grant(share.budget, request, policy.freeFraction()),
+                result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
     }
 
     private static long reportDemand(Share share) {
@@ -306,32 +310,28 @@
     }
 
     private void onRequestDone(
-            Share share,
-            String askedFor,
-            long minimumTokens,
-            List<String> holders,
-            Either<Failure, LedgerState> result) {
+            Share share, String askedFor, long minimumTokens, List<String> holders, LedgerResult result) {
         if (!share.shareId.equals(askedFor)) {
             return;
         }
         share.requestInFlight = false;
-        if (result.isLeft()) {
-            onRefused(share, result.getLeft());
+        Optional<Failure> failure = LedgerOps.failure(result);
+        if (failure.isPresent()) {
+            onRefused(share, failure.get());
             return;
         }
-        Optional<ShareState> row = Ledger.share(result.get(), share.budget, askedFor);
-        if (row.isEmpty()) {
+        if (!result.hasShare()) {
             lose(share);
             return;
         }
-        share.grantedTokens = row.get().getGrantedTokens();
+        share.grantedTokens = result.getShare().getGrantedTokens();
         share.holders.clear();
         share.holders.addAll(holders);
-        share.exhausted = row.get().getWantedTokens() > 0;
+        share.exhausted = result.getShare().getWantedTokens() > 0;
         if (share.exhausted) {
             onExhausted(share, minimumTokens);
         }
-        observe(share, result.get());
+        observe(share, result);
         serveWaiters(share);
     }
 
@@ -343,12 +343,11 @@
         }
     }
 
-    private static void observe(Share share, LedgerState state) {
-        AccountState account = state.getAccountsOrThrow(share.budget);
+    private static void observe(Share share, LedgerResult result) {
         share.accountSeen = true;
-        share.unspentTokens = Ledger.unspentTokens(account);
-        share.fleetDemandTokensPerSecond = Ledger.demandTokensPerSecond(account);
-        share.wantedElsewhere = Ledger.wantedElsewhere(account, share.shareId);
+        share.unspentTokens = result.getUnspentTokens();
+        share.fleetDemandTokensPerSecond = result.getDemandTokensPerSecond();
+        share.wantedElsewhere = result.getWantedElsewhere();
     }
 
     private void onRefused(Share share, Failure failure) {
@@ -378,10 +377,10 @@
         share.nextRequestAtMillis = nowMillis + policy.retryMillis();
         String askedFor = share.shareId;
         counters.giveBacks++;
-        ledgers.get(share.partition)
-                .submit(
-                        Ledger.giveBack(share.budget, askedFor, share.requestSeq, tokens, reportDemand(share)),
-                        result -> onRequestDone(share, askedFor, 0, new ArrayList<>(share.holders), result));
+        ledgers.submit(
+                share.partition,
+                LedgerOps.giveBack(share.budget, askedFor, share.requestSeq, tokens, reportDemand(share)),
+                result -> onRequestDone(share, askedFor, 0, new ArrayList<>(share.holders), result));
     }
 
     /** Gives excess back because another router is short of tokens of the same budget. */
@@ -405,20 +404,22 @@
         share.settleInFlight = true;
         share.settleSubmittedAtMillis = nowMillis;
         Ledger.Settlement settlement = share.settlement();
-        ledgers.get(share.partition)
-                .submit(Ledger.settle(share.budget, settlement), result -> onSettled(share, settlement, result));
+        ledgers.submit(
+                share.partition,
+                LedgerOps.settle(share.budget, settlement),
+                result -> onSettled(share, settlement, result));
     }
 
-    private void onSettled(Share share, Ledger.Settlement settlement, Either<Failure, LedgerState> result) {
+    private void onSettled(Share share, Ledger.Settlement settlement, LedgerResult result) {
         if (!share.shareId.equals(settlement.shareId())) {
             return;
         }
         share.settleInFlight = false;
-        if (result.isLeft()) {
+        if (LedgerOps.failure(result).isPresent()) {
             lose(share);
             return;
         }
-        observe(share, result.get());
+        observe(share, result);
         share.committedSettleSeq = Math.max(share.committedSettleSeq, settlement.settleSeq());
         releaseBills(share, settlement.settleSeq());
     }
@@ -456,19 +457,35 @@
     /** Gives every share back whole; to be called again until {@link #retired}. */
     public void retire() {
         for (Share share : List.copyOf(table.rows())) {
-            if (!share.settled() || share.requestInFlight || share.settleInFlight) {
-                continue;
+            if (share.settled() && !share.requestInFlight) {
+                retire(share);
             }
-            if (share.requestSeq == 0) {
-                table.remove(share);
-                continue;
-            }
-            share.requestInFlight = true;
-            ledgers.get(share.partition)
-                    .submit(Ledger.retire(share.budget, share.settlement()), result -> table.remove(share));
         }
     }
 
+    private void retire(Share share) {
+        if (share.settleInFlight || share.retiring) {
+            return;
+        }
+        share.retiring = true;
+        share.requestInFlight = true;
+        ledgers.submit(
+                share.partition,
+                LedgerOps.retire(share.budget, share.settlement()),
+                result -> onRetired(share, share.shareId));
+    }
+
+    private void onRetired(Share share, String retiredId) {
+        if (!share.shareId.equals(retiredId)) {
+            return;
+        }
+        if (share.waiters.isEmpty()) {
+            table.remove(share);
+            return;
+        }
+        share.restart(nextShareId());
+    }
+
     /** Returns whether no share is left. */
     public boolean retired() {
         return table.rows().isEmpty();
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -18,6 +18,9 @@
 import org.radishspan.proto.BillHandover;
 import org.radishspan.proto.BillHandoverReply;
 import org.radishspan.proto.Hello;
+import org.radishspan.proto.LedgerAnswer;
+import org.radishspan.proto.LedgerCall;
+import org.radishspan.proto.LedgerNotice;
 import org.radishspan.proto.LoadReport;
 import org.radishspan.proto.PeerMessage;
 import org.radishspan.proto.ShareWanted;
@@ -45,6 +48,15 @@
         /** Gives excess tokens of a budget back. */
         void onShortage(String budget, long tokens);
 
+        /** Commits changes of a ledger for a peer. */
+        void onLedgerCall(String vm, LedgerCall call);
+
+        /** Takes the results of changes that this router sent. */
+        void onLedgerAnswer(LedgerAnswer answer);
+
+        /** Looks at a ledger because a share in it was closed. */
+        void onLedgerNotice(int partition);
+
         /** Hears that a peer has a configuration revision. */
         void onRevision(long revision);
 
@@ -58,7 +70,8 @@
     private static final long REPORT_MILLIS = 500;
     private static final long GONE_AFTER_UNLISTED_MILLIS = 3_000;
     private static final long MAX_PENDING_HANDOVERS = 10_000;
-    private static final long SILENT_MILLIS = 2_000;
+    private static final int SILENT_REPORTS = 4;
+    private static final int PEERS_AT_FULL_RATE = 6;
 
     private final Self self;
     private final PeerLink link;
@@ -71,6 +84,7 @@
     private long nextReportAtMillis;
     private long nowMillis;
     private boolean draining;
+    private boolean listSeen;
 
     /** Creates the system. */
     public PeerSystem(
@@ -94,6 +108,7 @@
 
     /** Takes over the routers of the platform's list. */
     public void replace(List<ListedVm> routers) {
+        listSeen = true;
         Set<String> names = new HashSet<>();
         for (ListedVm vm : routers) {
             if (vm.name().equals(self.vm())) {
@@ -149,6 +164,10 @@
             case WANTED ->
                 handlers.onShortage(
                         message.getWanted().getBudget(), message.getWanted().getTokens());
+            case LEDGER_CALL -> handlers.onLedgerCall(vm, message.getLedgerCall());
+            case LEDGER_ANSWER -> handlers.onLedgerAnswer(message.getLedgerAnswer());
+            case LEDGER_NOTICE ->
+                handlers.onLedgerNotice(message.getLedgerNotice().getPartition());
             default -> {}
         }
     }
@@ -242,6 +261,22 @@
         return null;
     }
 
+    /** Asks a holder of a closed share to look at a ledger; this router looks itself if it is the holder. */
+    public void noticeHolder(String holder, int partition) {
+        if (holder.equals(self.incarnation())) {
+            handlers.onLedgerNotice(partition);
+            return;
+        }
+        Peer peer = byIncarnation(holder);
+        if (peer != null) {
+            send(
+                    peer,
+                    PeerMessage.newBuilder()
+                            .setLedgerNotice(LedgerNotice.newBuilder().setPartition(partition))
+                            .build());
+        }
+    }
+
     /** Tells every peer that a share of a budget is short of tokens. */
     public void announceShortage(String budget, String shareId, long tokens) {
         PeerMessage message = PeerMessage.newBuilder()
@@ -259,8 +294,7 @@
     public List<String> chooseHolders(int count) {
         List<Peer> candidates = new ArrayList<>();
         for (Peer peer : rows.values()) {
-            boolean alive = nowMillis - peer.lastHeardMillis < SILENT_MILLIS && !peer.draining;
-            if (alive && !peer.incarnation.isEmpty()) {
+            if (alive(peer)) {
                 candidates.add(peer);
             }
         }
@@ -271,13 +305,65 @@
         return candidates.stream().limit(count).map(Peer::incarnation).toList();
     }
 
+    private boolean alive(Peer peer) {
+        boolean heard = nowMillis - peer.lastHeardMillis < silentMillis();
+        return heard && !peer.draining && !peer.incarnation.isEmpty();
+    }
+
+    /** Returns the VM that ranks first for a ledger among the live ones; empty text if it is this one. */
+    public String combinerOf(int partition) {
+        String best = "";
+        int bestRank = rank(self.vm() + "/" + partition);
+        for (Peer peer : rows.values()) {
+            int peerRank = rank(peer.vm + "/" + partition);
+            if (alive(peer) && Integer.compareUnsigned(peerRank, bestRank) > 0) {
+                best = peer.vm;
+                bestRank = peerRank;
+            }
+        }
+        return best;
+    }
+
+    /** Returns how many of the ledgers this router commits for. */
+    public int combinedPartitions(int partitions) {
+        int count = 0;
+        for (int partition = 0; partition < partitions; partition++) {
+            count += combinerOf(partition).isEmpty() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Returns whether a process has ended: another one runs on its VM, or the platform does not list the VM. */
+    public boolean processEnded(String vm, String incarnation) {
+        if (vm.equals(self.vm())) {
+            return !incarnation.equals(self.incarnation());
+        }
+        Peer peer = rows.get(vm);
+        if (peer == null) {
+            return listSeen;
+        }
+        return alive(peer) && !peer.incarnation.equals(incarnation);
+    }
+
+    /** Sends a message to a VM, if it is known. */
+    public void sendTo(String vm, PeerMessage message) {
+        Peer peer = rows.get(vm);
+        if (peer != null) {
+            send(peer, message);
+        }
+    }
+
     private boolean sameDomain(Peer peer) {
         return peer.failureDomain.equals(self.failureDomain());
     }
 
     private int rank(Peer peer) {
-        byte[] pair = (self.incarnation() + "/" + peer.incarnation).getBytes(UTF_8);
-        return MurmurHash3.hash32x86(pair, 0, pair.length, 0);
+        return rank(self.incarnation() + "/" + peer.incarnation);
+    }
+
+    private static int rank(String text) {
+        byte[] bytes = text.getBytes(UTF_8);
+        return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
     }
 
     /** Reports to peers and notices those that are gone. */
@@ -286,7 +372,7 @@
         if (tickMillis < nextReportAtMillis) {
             return;
         }
-        nextReportAtMillis = tickMillis + REPORT_MILLIS;
+        nextReportAtMillis = tickMillis + reportMillis();
         PeerMessage report = PeerMessage.newBuilder()
                 .setLoad(LoadReport.newBuilder()
                         .setConfigRevision(configRevision.getAsLong())
@@ -300,8 +386,25 @@
         }
     }
 
+    /** Returns the time between two reports, which grows with the fleet so that the bytes a second do not. */
+    private long reportMillis() {
+        return REPORT_MILLIS * Math.max(1, rows.size() / PEERS_AT_FULL_RATE);
+    }
+
+    private long silentMillis() {
+        return reportMillis() * SILENT_REPORTS;
+    }
+
+    /** Notes that a peer did not answer; it counts as alive again once it is heard. */
+    public void onUnanswered(String vm) {
+        Peer peer = rows.get(vm);
+        if (peer != null) {
+            peer.lastHeardMillis = nowMillis - silentMillis();
+        }
+    }
+
     private void noticeGone(Peer peer) {
-        boolean silent = nowMillis - peer.lastHeardMillis >= SILENT_MILLIS;
+        boolean silent = nowMillis - peer.lastHeardMillis >= silentMillis();
         boolean unlisted = !peer.listed && nowMillis - peer.unlistedAtMillis >= GONE_AFTER_UNLISTED_MILLIS;
         if (!silent || !unlisted) {
             return;
--- a/src/main/java/org/radishspan/platform/SharedObject.java
+++ b/src/main/java/org/radishspan/platform/SharedObject.java
@@ -18,7 +18,7 @@
  *
  * <p>A conflict re-reads the object and applies the mutations again. A write whose outcome is unknown is treated the
  * same way: as every mutation is idempotent, applying it to a state that already holds it changes nothing. A
- * mutation is refused only on the ground of a state read after the mutation was submitted. While other VMs write the
+ * mutation is refused, or found to have nothing left to do, only on the ground of a state read after it was submitted. While other VMs write the
  * same object, it is read just before each write, as reads are cheaper than writes that meet a conflict.
  *
  * <pre>{@code
@@ -34,6 +34,8 @@
     /**
      * An idempotent change of the state.
      *
+     * <p>It returns the very same state if nothing is left to do.
+     *
      * @param <S> the state
      */
     @FunctionalInterface
@@ -135,7 +137,6 @@
         }
     }
 
-    private static final long FRESH_MILLIS = 20;
     private static final long FIRST_BACKOFF_MILLIS = 10;
     private static final long MAX_BACKOFF_MILLIS = 2_000;
 
@@ -149,11 +150,11 @@
     private boolean busy;
     private boolean stale = true;
     private boolean contended;
+    private boolean readSinceWrite;
     private boolean readWanted;
     private long lastReadSubmitCount;
     private long submitCount;
     private long notBeforeMillis;
-    private long freshUntilMillis;
     private long backoffMillis;
     private long nowMillis;
 
@@ -216,7 +217,7 @@
             return;
         }
         S current = state;
-        if (stale || current == null || (contended && nowMillis > freshUntilMillis)) {
+        if (stale || current == null || (contended && !readSinceWrite)) {
             read();
             return;
         }
@@ -242,7 +243,7 @@
         readWanted = false;
         stale = false;
         lastReadSubmitCount = submittedBefore;
-        freshUntilMillis = nowMillis + FRESH_MILLIS;
+        readSinceWrite = true;
         StoredObject stored = reply.get();
         contended = stored.version() != version;
         if (stored.version() >= version) {
@@ -251,6 +252,7 @@
         }
     }
 
+    @SuppressWarnings("ReferenceEquality")
     private void commit(S current) {
         List<Ticket> batch = new ArrayList<>();
         List<Either<Failure, S>> refusals = new ArrayList<>();
@@ -266,7 +268,12 @@
             refusals.add(result);
             next = result.getOrElse(next);
         }
-        if (next.equals(current)) {
+        if (next == current && !readSinceSubmitted(batch)) {
+            // That nothing is left to do must be true of a state younger than the mutations.
+            read();
+            return;
+        }
+        if (next == current) {
             queue.clear();
             finishAll(batch, refusals, current);
             return;
@@ -274,12 +281,22 @@
         write(batch, refusals, next);
     }
 
+    private boolean readSinceSubmitted(List<Ticket> batch) {
+        for (Ticket ticket : batch) {
+            if (ticket.number > lastReadSubmitCount) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void write(List<Ticket> batch, List<Either<Failure, S>> refusals, S next) {
         if (!ports.writes().tryTake(nowMillis)) {
             return;
         }
         queue.clear();
         busy = true;
+        readSinceWrite = false;
         counters.writes++;
         for (Ticket ticket : batch) {
             ticket.written = true;
--- a/src/main/java/org/radishspan/recovery/RecoverySystem.java
+++ b/src/main/java/org/radishspan/recovery/RecoverySystem.java
@@ -8,6 +8,7 @@
 import io.vavr.control.Either;
 import org.radishspan.budget.Ledger;
 import org.radishspan.budget.Ledger.KeyedBill;
+import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.LedgerPartitions;
 import org.radishspan.error.Failure;
 import org.radishspan.journal.Journal;
@@ -17,7 +18,6 @@
 import org.radishspan.proto.BillState;
 import org.radishspan.proto.IntentState;
 import org.radishspan.proto.JournalState;
-import org.radishspan.proto.LedgerState;
 import org.radishspan.proto.ShareState;
 
 /**
@@ -44,7 +44,7 @@
         private Step step = Step.CLOSE_LEDGERS;
         private int outstanding;
         private boolean submitted;
-        private final Map<Integer, LedgerState> ledgers = new HashMap<>();
+        private final Map<Integer, LedgerBook> ledgers = new HashMap<>();
         private final List<JournalState> journals = new ArrayList<>();
 
         Recovery(String incarnation, long startAtMillis) {
@@ -131,7 +131,7 @@
         Map<String, List<KeyedBill>> bills = billsByShare(recovery);
         recovery.outstanding = 1;
         recovery.ledgers.forEach((partition, state) -> {
-            for (AccountState account : state.getAccountsMap().values()) {
+            for (AccountState account : state.accounts()) {
                 for (ShareState share : account.getSharesList()) {
                     if (share.getIncarnation().equals(recovery.incarnation)) {
                         sweepShare(recovery, partition, account, share, bills);
--- a/src/main/java/org/radishspan/router/OperatorApi.java
+++ b/src/main/java/org/radishspan/router/OperatorApi.java
@@ -13,6 +13,7 @@
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
 import org.radishspan.budget.Ledger;
+import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.ReclaimMode;
 import org.radishspan.budget.Share;
 import org.radishspan.config.CallerKey;
@@ -27,7 +28,6 @@
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.AuditState;
 import org.radishspan.proto.ConfigurationState;
-import org.radishspan.proto.LedgerState;
 import org.radishspan.proto.PresetState;
 import org.radishspan.proto.ShareState;
 import org.radishspan.proto.WorkspaceState;
@@ -261,10 +261,12 @@
         changeBudget(call, name, Ledger.releaseForfeit(name, body.path("share").asText(), operation(body)));
     }
 
-    private void changeBudget(HttpCall call, String budget, SharedObject.Mutation<LedgerState> mutation) {
+    private void changeBudget(HttpCall call, String budget, SharedObject.Mutation<LedgerBook> mutation) {
         router.ledgers()
                 .of(budget)
-                .submit(mutation, answering(call, state -> budgetJson(state.getAccountsOrThrow(budget))));
+                .submit(
+                        mutation,
+                        answering(call, state -> budgetJson(state.find(budget).orElseThrow())));
     }
 
     private void showBudget(HttpCall call) {
@@ -273,18 +275,17 @@
     }
 
     private void readBudget(String budget, Consumer<Either<Failure, AccountState>> done) {
-        SharedObject<LedgerState> ledger = router.ledgers().of(budget);
+        SharedObject<LedgerBook> ledger = router.ledgers().of(budget);
         ledger.refresh();
         ledger.submit(Either::right, result -> done.accept(result.flatMap(state -> account(state, budget))));
     }
 
-    private static Either<Failure, AccountState> account(LedgerState state, String budget) {
-        AccountState account = state.getAccountsMap().get(budget);
+    private static Either<Failure, AccountState> account(LedgerBook state, String budget) {
+        AccountState account = state.account(budget);
         if (account == null) {
             return Either.left(Failure.notRun(
                     ErrorKind.NOT_FOUND,
-                    "no budget named " + budget + "; there are "
-                            + String.join(", ", state.getAccountsMap().keySet())));
+                    "no budget named " + budget + "; there are " + String.join(", ", state.budgets())));
         }
         return Either.right(account);
     }
@@ -314,7 +315,7 @@
     private void audit(HttpCall call) {
         List<AuditState> entries =
                 new ArrayList<>(router.configuration().inForce().getAuditList());
-        for (SharedObject<LedgerState> ledger : router.ledgers().all()) {
+        for (SharedObject<LedgerBook> ledger : router.ledgers().all()) {
             ledger.refresh();
         }
         collectAudit(call, entries, 0);
@@ -326,7 +327,7 @@
             return;
         }
         router.ledgers().get(partition).submit(Either::right, result -> {
-            result.peek(state -> entries.addAll(state.getAuditList()));
+            result.peek(state -> state.audit().forEach(entries::add));
             collectAudit(call, entries, partition + 1);
         });
     }
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -1,12 +1,12 @@
 package org.radishspan.router;
 
-import java.util.List;
 import java.util.Optional;
 
 import io.vavr.control.Either;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.budget.HeldBillSystem;
 import org.radishspan.budget.Ledger;
+import org.radishspan.budget.LedgerGateway;
 import org.radishspan.budget.LedgerPartitions;
 import org.radishspan.budget.SharePolicy;
 import org.radishspan.budget.ShareSystem;
@@ -23,9 +23,12 @@
 import org.radishspan.platform.PlatformStore;
 import org.radishspan.platform.SharedObject;
 import org.radishspan.proto.ConfigurationState;
+import org.radishspan.proto.LedgerAnswer;
+import org.radishspan.proto.LedgerCall;
 import org.radishspan.proto.PeerMessage;
 import org.radishspan.proto.PresetState;
 import org.radishspan.proto.WorkspaceState;
+import org.radishspan.recovery.OrphanScan;
 import org.radishspan.recovery.RecoverySystem;
 import org.radishspan.request.CallReader;
 import org.radishspan.request.CallSpec;
@@ -33,7 +36,6 @@
 import org.radishspan.request.RequestSystem;
 import org.radishspan.routing.TargetChooser;
 import org.radishspan.routing.TargetTable;
-import org.radishspan.routing.TargetTable.ListedVm;
 
 /**
  * One router without its sockets: tables, and the systems that run over them each tick.
@@ -53,6 +55,8 @@
      */
     public record Ports(PlatformStore store, HttpTransport transport, PeerLink link, UniformRandomProvider random) {}
 
+    private static final double DIRECT_PART = 0.5;
+    private static final long DIVIDE_RATES_MILLIS = 1_000;
     private static final long RECOVERY_STAGGER_MILLIS = 2_000;
 
     private final RouterSettings settings;
@@ -64,13 +68,16 @@
     private final TargetTable targets = new TargetTable();
     private final MembershipSystem membership;
     private final PeerSystem peers;
+    private final LedgerGateway gateway;
     private final ShareSystem shares;
     private final HeldBillSystem heldBills;
     private final RecoverySystem recovery;
+    private final OrphanScan orphanScan;
     private final RequestSystem requests;
     private final CallReader callReader;
     private final UniformRandomProvider random;
     private long requestCount;
+    private long divideRatesAtMillis;
     private long nowMillis;
     private boolean draining;
 
@@ -84,6 +91,12 @@
         this.journals = new JournalPartitions(settings.storage().journalPartitions(), objectPorts);
         this.configuration = new ConfigurationSystem(ports.store(), objectPorts);
         this.recovery = new RecoverySystem(ledgers, journals);
+        this.orphanScan = new OrphanScan(
+                ledgers,
+                partition -> peers().combinerOf(partition).isEmpty(),
+                (vm, ended) -> peers().processEnded(vm, ended),
+                ended -> recovery().close(ended, nowMillis()),
+                (holder, partition) -> peers().noticeHolder(holder, partition));
         this.heldBills = new HeldBillSystem(incarnation, ledgers);
         PeerSystem.Self self = new PeerSystem.Self(settings.vm(), incarnation, settings.failureDomain());
         this.peers = new PeerSystem(
@@ -92,14 +105,15 @@
                 new PeerHandlers(),
                 () -> configuration().inForce().getRevision(),
                 this::requestsInProgress);
+        this.gateway = new LedgerGateway(ledgers, new PeerCombiners());
         this.shares = new ShareSystem(
                 new ShareSystem.Identity(settings.vm(), incarnation),
-                ledgers,
+                gateway,
                 settings.shares(),
                 peers::announceShortage,
                 peers::handOver,
                 peers::chooseHolders);
-        this.membership = new MembershipSystem(ports.store(), ports.transport(), targets, this::onRouters);
+        this.membership = new MembershipSystem(ports.store(), ports.transport(), targets, peers::replace);
         this.requests = new RequestSystem(
                 new RequestSystem.Ports(
                         shares,
@@ -139,13 +153,14 @@
                 new Journal.Retention(storage.keepOutcomesMillis(), storage.maxIntents()));
     }
 
-    /** Divides the fleet's part of the platform's rates among the listed routers. */
-    private void onRouters(List<ListedVm> routers) {
-        peers.replace(routers);
-        double count = Math.max(1, routers.size());
-        RouterSettings.Platform platform = settings.platform();
-        objectPorts.reads().setRate(platform.fleetReadsPerSecond() / count);
-        objectPorts.writes().setRate(platform.fleetWritesPerSecond() / count);
+    /** Divides the fleet's part of the platform's rates: half among all routers, half among those that combine. */
+    private void divideRates() {
+        double listed = 1.0 + peers.rows().size();
+        int partitions = settings.storage().ledgerPartitions();
+        double combined = peers.combinedPartitions(partitions) / (double) partitions;
+        double part = DIRECT_PART / listed + (1 - DIRECT_PART) * combined;
+        objectPorts.reads().setRate(settings.platform().fleetReadsPerSecond() * part);
+        objectPorts.writes().setRate(settings.platform().fleetWritesPerSecond() * part);
     }
 
     private int requestsInProgress() {
@@ -264,6 +279,8 @@
         return draining
                 && requests.inProgress() == 0
                 && shares.retired()
+                && gateway.idle()
+                && ledgers.all().stream().allMatch(SharedObject::idle)
                 && heldBills.heldShares() == 0
                 && journals.all().stream().allMatch(SharedObject::idle);
     }
@@ -271,6 +288,10 @@
     /** Runs every system. */
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
+        if (tickMillis >= divideRatesAtMillis) {
+            divideRatesAtMillis = tickMillis + DIVIDE_RATES_MILLIS;
+            divideRates();
+        }
         configuration.tick(tickMillis);
         membership.tick(tickMillis);
         peers.tick(tickMillis);
@@ -280,7 +301,9 @@
         }
         shares.tick(tickMillis);
         heldBills.tick();
+        orphanScan.tick(tickMillis);
         recovery.tick(tickMillis);
+        gateway.tick(tickMillis);
         ledgers.tick(tickMillis);
         journals.tick(tickMillis);
     }
@@ -290,6 +313,29 @@
         peers.onMessage(vm, message);
     }
 
+    private final class PeerCombiners implements LedgerGateway.Combiners {
+
+        @Override
+        public String combinerOf(int partition) {
+            return peers.combinerOf(partition);
+        }
+
+        @Override
+        public void send(String vm, LedgerCall call) {
+            peers.sendTo(vm, PeerMessage.newBuilder().setLedgerCall(call).build());
+        }
+
+        @Override
+        public void onUnanswered(String vm) {
+            peers.onUnanswered(vm);
+        }
+
+        @Override
+        public void reply(String vm, LedgerAnswer answer) {
+            peers.sendTo(vm, PeerMessage.newBuilder().setLedgerAnswer(answer).build());
+        }
+    }
+
     private final class PeerHandlers implements PeerSystem.Handlers {
 
         @Override
@@ -302,6 +348,23 @@
             shares.onShortage(budget, tokens);
         }
 
+        @Override
+        public void onLedgerCall(String vm, LedgerCall call) {
+            gateway.onCall(vm, call);
+        }
+
+        @Override
+        public void onLedgerAnswer(LedgerAnswer answer) {
+            gateway.onAnswer(answer);
+        }
+
+        @Override
+        public void onLedgerNotice(int partition) {
+            if (partition >= 0 && partition < ledgers.all().size()) {
+                ledgers.get(partition).refresh();
+            }
+        }
+
         @Override
         public void onRevision(long revision) {
             if (revision > configuration.inForce().getRevision()) {
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -9,6 +9,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
 import org.radishspan.budget.Ledger;
+import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.ReclaimMode;
 import org.radishspan.budget.SharePolicy;
 import org.radishspan.config.CallerKey;
@@ -20,7 +21,6 @@
 import org.radishspan.platform.StoredObject;
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.ConfigurationState;
-import org.radishspan.proto.LedgerState;
 import org.radishspan.proto.PeerMessage;
 import org.radishspan.proto.WorkspaceState;
 import org.radishspan.request.CallReader;
@@ -363,12 +363,12 @@
         changeLedger(budget, Ledger.topUp(budget, tokens, operation()));
     }
 
-    private void changeLedger(String budget, SharedObject.Mutation<LedgerState> mutation) {
+    private void changeLedger(String budget, SharedObject.Mutation<LedgerBook> mutation) {
         String key = nodes.get(0).router().ledgers().of(budget).key();
         StoredObject stored = platform.objects().get(key);
-        LedgerState state = Ledger.CODEC.decode().apply(stored.value());
-        LedgerState changed = mutation.apply(state).get();
-        platform.objects().put(key, stored.version(), changed.toByteArray());
+        LedgerBook state = Ledger.CODEC.decode().apply(stored.value());
+        LedgerBook changed = mutation.apply(state).get();
+        platform.objects().put(key, stored.version(), changed.encode());
     }
 
     /** Creates a workspace that pays from a budget, and returns its key. */
@@ -394,9 +394,9 @@
     /** Returns a budget as the stored ledger has it. */
     public AccountState account(String budget) {
         String key = nodes.get(0).router().ledgers().of(budget).key();
-        LedgerState state =
+        LedgerBook state =
                 Ledger.CODEC.decode().apply(platform.objects().get(key).value());
-        return state.getAccountsOrThrow(budget);
+        return state.find(budget).orElseThrow();
     }
 
     /** Lets the routers find each other and the configuration. */
--- a/src/test/java/org/radishspan/platform/SharedObjectTest.java
+++ b/src/test/java/org/radishspan/platform/SharedObjectTest.java
@@ -132,6 +132,22 @@
             assertEquals(test.objects.writes(), 1, "the mutation was found in effect");
         }
 
+        /** A recovery found nothing to close in a state that was read before the share was made. */
+        @Test
+        public void findsThatNothingIsLeftToDoOnAFreshReadOnly() {
+            Harness test = new Harness();
+            test.object.submit(append("a"), result -> {});
+            test.step();
+            test.step();
+            test.objects.put("key", test.objects.get("key").version(), "z".getBytes(UTF_8));
+            List<String> seen = new ArrayList<>();
+            test.object.submit(append("a"), result -> seen.add(result.get()));
+            for (int i = 0; i < 3; i++) {
+                test.step();
+            }
+            assertEquals(seen, List.of("za"), "the letter had gone meanwhile");
+        }
+
         @Test
         public void repeatsAWriteThatDidNotTakeEffect() {
             Harness test = new Harness();
--- /dev/null
+++ b/src/test/java/org/radishspan/virtual/CombinerTest.java
@@ -0,0 +1,82 @@
+package org.radishspan.virtual;
+
+import org.radishspan.budget.Ledger;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** One router commits the ledger's changes of all. */
+public class CombinerTest {
+    private static final String BUDGET = "crew";
+    private static final int ROUTERS = 7;
+    private static final int TOKENS = 4;
+
+    private static int combiner(VirtualFleet fleet) {
+        for (int i = 0; i < ROUTERS; i++) {
+            if (fleet.node(i).alive()
+                    && fleet.node(i).router().peers().combinerOf(0).isEmpty()) {
+                return i;
+            }
+        }
+        throw new AssertionError("no router combines");
+    }
+
+    private static VirtualFleet fleet() {
+        VirtualFleet fleet = VirtualFleet.builder().routers(ROUTERS).seed(21).build();
+        fleet.createBudget(BUDGET, 1_000_000);
+        fleet.createWorkspace("workspace", BUDGET);
+        fleet.settleDown();
+        return fleet;
+    }
+
+    private static int callEveryRouter(VirtualFleet fleet, int rounds) {
+        int answered = 0;
+        for (int round = 0; round < rounds; round++) {
+            TestCaller[] callers = new TestCaller[ROUTERS];
+            for (int i = 0; i < ROUTERS; i++) {
+                callers[i] = fleet.node(i).alive()
+                        ? TestCaller.chat(fleet.node(i), "workspace.key", TOKENS, false, null)
+                        : new TestCaller();
+            }
+            fleet.run(3_000);
+            for (TestCaller caller : callers) {
+                answered += caller.answered() ? 1 : 0;
+            }
+        }
+        return answered;
+    }
+
+    @Test
+    public void writesWithoutConflicts() {
+        VirtualFleet fleet = fleet();
+        long conflicts = fleet.platform().objects().conflicts();
+        assertEquals(callEveryRouter(fleet, 10), 10 * ROUTERS);
+        assertEquals(fleet.platform().objects().conflicts(), conflicts);
+    }
+
+    @Test
+    public void isReplacedWhenItDies() {
+        VirtualFleet fleet = fleet();
+        callEveryRouter(fleet, 1);
+        int dead = combiner(fleet);
+        fleet.node(dead).crash();
+        assertEquals(callEveryRouter(fleet, 5), 5 * (ROUTERS - 1));
+        assertTrue(combiner(fleet) != dead);
+    }
+
+    @Test
+    public void isSafeWhenTwoBelieveTheyAreFirst() {
+        VirtualFleet fleet = fleet();
+        callEveryRouter(fleet, 1);
+        for (int i = 0; i < 3; i++) {
+            fleet.node(i).moveToSide(1);
+        }
+        fleet.run(10_000);
+        int answered = callEveryRouter(fleet, 5);
+        assertEquals(answered, 5 * ROUTERS);
+        fleet.run(5_000);
+        assertEquals(
+                Ledger.billedTokens(fleet.account(BUDGET)), 6L * ROUTERS * (VirtualTargets.PROMPT_TOKENS + TOKENS));
+    }
+}
