End a drained router with exit code 0 and its log whole; two service VMs in the virtual fleet

Cause: a router stopped by SIGTERM exited with 143, and the JDK's log manager closed the log before the drain began. The trial 'blind retry of entries' still passed every fault case: with one service VM there was nobody to retry at. Ruled out: that the retry was never tried (with a second VM it is). Change: the hook halts with the drain's own exit code; a log manager that stays open; a second service VM. Before: exit 143, no 'drains' line.

--- a/src/main/java/org/radishspan/cli/Commands.java
+++ b/src/main/java/org/radishspan/cli/Commands.java
@@ -174,7 +174,8 @@
     private static int router(CommandLine line, PrintWriter out) throws Command.UsageException {
         RouterSettings settings = valid(RouterSettingsReader.read(readConfig(line)));
         RouterProcess process = RouterProcess.start(settings);
-        Thread hook = new Thread(() -> process.stop().join());
+        // A process that ends by a signal reports the signal; halting reports how the drain went.
+        Thread hook = new Thread(() -> Runtime.getRuntime().halt(process.stop().join()));
         Runtime.getRuntime().addShutdownHook(hook);
         out.println("callers: " + process.callerPort() + "  operators: " + process.operatorPort() + "  peers: "
                 + process.peerPort());
--- a/src/main/java/org/radishspan/cli/Main.java
+++ b/src/main/java/org/radishspan/cli/Main.java
@@ -28,6 +28,8 @@
 public final class Main {
     private static final int HELP_WIDTH = 110;
     private static final int MAX_SUGGESTION_DISTANCE = 4;
+    // Given by name: loading the class would load the JDK's own manager first.
+    private static final String LOG_MANAGER = "org.radishspan.log.UntilExitLogManager";
     private static final String PROGRAM = "radishspan";
 
     private final PrintWriter out;
@@ -45,6 +47,7 @@
 
     /** Runs a command and ends the process with its exit code. */
     public static void main(String[] arguments) {
+        System.setProperty("java.util.logging.manager", LOG_MANAGER);
         JsonLines.install(Level.INFO);
         PrintWriter out = new PrintWriter(new OutputStreamWriter(System.out, UTF_8), true);
         PrintWriter err = new PrintWriter(new OutputStreamWriter(System.err, UTF_8), true);
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -49,7 +49,8 @@
     public static final long SERVICE_PRICE_TOKENS = 5;
 
     private static final int FIRST_ENGINE_PORT = 9_000;
-    private static final int SERVICE_PORT = 9_500;
+    private static final int FIRST_SERVICE_PORT = 9_500;
+    private static final int SERVICES = 2;
     private static final int PEER_PORT = 7_000;
     private static final int FAILURE_DOMAINS = 3;
     private static final long START_MILLIS = 1_000_000;
@@ -158,7 +159,9 @@
         for (int i = 0; i < parts.engines; i++) {
             listed.add(listedTarget("engine-" + i, "engine", enginePort(i), MODEL, i));
         }
-        listed.add(listedTarget("service-0", "service", SERVICE_PORT, SERVICE, 0));
+        for (int i = 0; i < SERVICES; i++) {
+            listed.add(listedTarget("service-" + i, "service", servicePort(i), SERVICE, i));
+        }
         publishList();
         publishConfiguration();
     }
@@ -173,9 +176,9 @@
         return FIRST_ENGINE_PORT + engine;
     }
 
-    /** Returns the port of the service. */
-    public static int servicePort() {
-        return SERVICE_PORT;
+    /** Returns the port of one of the two VMs of the service. */
+    public static int servicePort(int service) {
+        return FIRST_SERVICE_PORT + service;
     }
 
     private static String domain(int index) {
--- a/src/test/java/org/radishspan/virtual/FaultRun.java
+++ b/src/test/java/org/radishspan/virtual/FaultRun.java
@@ -111,7 +111,7 @@
             case MESSAGE_LOSS -> fleet.loseMessages(0.4);
             case TARGET_CRASH -> fleet.targets().crash(VirtualFleet.enginePort(0));
             case SERVICE_CRASH -> crashServiceNowAndThen();
-            case SERVICE_SILENCE -> fleet.targets().silence(VirtualFleet.servicePort(), true);
+            case SERVICE_SILENCE -> fleet.targets().silence(VirtualFleet.servicePort(0), true);
             default -> throw new AssertionError(fault);
         }
     }
@@ -126,11 +126,11 @@
         fleet.platform().delayWrites(0);
         fleet.loseMessages(0);
         fleet.targets().start(VirtualFleet.enginePort(0));
-        fleet.targets().silence(VirtualFleet.servicePort(), false);
+        fleet.targets().silence(VirtualFleet.servicePort(0), false);
     }
 
     private void crashServiceNowAndThen() {
-        int port = VirtualFleet.servicePort();
+        int port = VirtualFleet.servicePort(0);
         for (int i = 0; i < SERVICE_CRASHES; i++) {
             fleet.time()
                     .schedule(
