--- a/src/main/java/org/radishspan/demo/Demo.java
+++ b/src/main/java/org/radishspan/demo/Demo.java
@@ -89,7 +89,7 @@
                 new RouterSettings.Operator(HOST, 0, OPERATOR_KEY),
                 new RouterSettings.PeerPort(HOST, 0, "demo-secret"),
                 new RouterSettings.Platform(HOST, platform.port(), 1_000, 10_000, 600, 180, true),
-                new RouterSettings.Storage(1, 2, 20, 3_600_000, 1_000),
+                new RouterSettings.Storage(1, 2, 20, 3_600_000, 1_000, 16_384),
                 SharePolicy.DEFAULT,
                 new RouterSettings.Requests(60_000, 5_000, 10_000, 10_000, 4_096, 256),
                 Map.of(SERVICE, new CallReader.ServiceSpec(false, SERVICE_PRICE_TOKENS)));
--- a/src/main/java/org/radishspan/error/ErrorKind.java
+++ b/src/main/java/org/radishspan/error/ErrorKind.java
@@ -28,6 +28,8 @@
     OUTCOME_UNKNOWN(409, false),
     /** The same request is still running. */
     IN_PROGRESS(409, true),
+    /** The request ran before, and its answer was too long to be kept for a repeated call. */
+    ANSWER_NOT_KEPT(410, false),
     /** The body is larger than the limit. */
     BODY_TOO_LARGE(413, false),
     /** The idempotency key was used before with another body. */
--- a/src/main/java/org/radishspan/journal/Journal.java
+++ b/src/main/java/org/radishspan/journal/Journal.java
@@ -29,6 +29,7 @@
     /** Reads and writes a journal object. */
     public static final Codec<JournalState> CODEC = new Codec<>(Journal::decode, JournalState::toByteArray);
 
+    private static final int MAX_OBJECT_BYTES = 800_000;
     private static final int MAX_CLOSED_INCARNATIONS = 4_096;
 
     private Journal() {}
@@ -57,8 +58,13 @@
      *
      * @param keepMillis an outcome is kept at least this long
      * @param maxIntents a partition with so many refuses new claims rather than forget one
+     * @param maxAnswerBytes a longer answer is not kept; its request still never runs again
      */
-    public record Retention(long keepMillis, int maxIntents) {}
+    public record Retention(long keepMillis, int maxIntents, int maxAnswerBytes) {
+        private boolean full(JournalState.Builder journal, long bytes) {
+            return journal.getIntentsCount() >= maxIntents || bytes > MAX_OBJECT_BYTES - maxAnswerBytes;
+        }
+    }
 
     /**
      * The answer of a request as it is kept.
@@ -89,7 +95,7 @@
                 return Either.right(state);
             }
             JournalState.Builder builder = withoutExpired(state, details.createdMillis(), retention);
-            if (existing == null && builder.getIntentsCount() >= retention.maxIntents()) {
+            if (existing == null && retention.full(builder, state.getSerializedSize())) {
                 return Either.left(Failure.notRun(ErrorKind.OVERLOADED, "the journal is full")
                         .retryAfter(retention.keepMillis()));
             }
@@ -134,13 +140,16 @@
     }
 
     /** Commits the outcome of an attempt and its bill. */
-    public static Mutation<JournalState> complete(Attempt attempt, Outcome outcome, @Nullable BillState bill) {
+    public static Mutation<JournalState> complete(
+            Attempt attempt, Outcome outcome, @Nullable BillState bill, Retention retention) {
+        boolean kept = outcome.body().size() <= retention.maxAnswerBytes();
         return onOwned(attempt, Phase.DONE, intent -> {
             IntentState.Builder builder = intent.toBuilder()
                     .setPhase(Phase.DONE)
                     .setStatus(outcome.status())
                     .setContentType(outcome.contentType())
-                    .setAnswer(outcome.body());
+                    .setAnswer(kept ? outcome.body() : ByteString.EMPTY)
+                    .setAnswerDropped(!kept);
             if (bill != null) {
                 builder.setBill(bill);
             }
--- a/src/main/java/org/radishspan/request/ClaimSystem.java
+++ b/src/main/java/org/radishspan/request/ClaimSystem.java
@@ -119,6 +119,12 @@
     }
 
     private void replay(Request request, IntentState intent) {
+        if (intent.getAnswerDropped()) {
+            finisher.fail(
+                    request,
+                    Failure.ran(ErrorKind.ANSWER_NOT_KEPT, "the request ran once; its answer was too long to keep"));
+            return;
+        }
         counters.replayed++;
         byte[] answer = intent.getAnswer().toByteArray();
         Map<String, String> headers = Map.of("x-request-id", intent.getRequestId(), "x-replayed", "true");
--- a/src/main/java/org/radishspan/request/RequestSystem.java
+++ b/src/main/java/org/radishspan/request/RequestSystem.java
@@ -81,7 +81,8 @@
                 counters,
                 finisher);
         this.dispatch = new DispatchSystem(table, counters, ports, limits, finisher);
-        this.settlement = new SettlementSystem(table, counters, ports.shares(), ports.journals(), claims, finisher);
+        this.settlement = new SettlementSystem(
+                table, counters, ports.shares(), ports.journals(), claims, finisher, limits.retention());
     }
 
     /** Returns the counts. */
--- a/src/main/java/org/radishspan/request/SettlementSystem.java
+++ b/src/main/java/org/radishspan/request/SettlementSystem.java
@@ -21,6 +21,7 @@
     private final JournalPartitions journals;
     private final ClaimSystem claims;
     private final Finisher finisher;
+    private final Journal.Retention retention;
 
     SettlementSystem(
             RequestTable table,
@@ -28,13 +29,15 @@
             ShareSystem shares,
             JournalPartitions journals,
             ClaimSystem claims,
-            Finisher finisher) {
+            Finisher finisher,
+            Journal.Retention retention) {
         this.table = table;
         this.counters = counters;
         this.shares = shares;
         this.journals = journals;
         this.claims = claims;
         this.finisher = finisher;
+        this.retention = retention;
     }
 
     void bill(Request request) {
@@ -80,7 +83,7 @@
                 .build();
         journals.of(claim.key())
                 .submit(
-                        Journal.complete(claim, answer.outcome(), bill),
+                        Journal.complete(claim, answer.outcome(), bill, retention),
                         result -> onOutcome(request, claim, answer, reservation, bill, result));
     }
 
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -150,7 +150,7 @@
                 requests.deadlineMillis(),
                 requests.progressTimeoutMillis(),
                 requests.awaitMillis(),
-                new Journal.Retention(storage.keepOutcomesMillis(), storage.maxIntents()));
+                new Journal.Retention(storage.keepOutcomesMillis(), storage.maxIntents(), storage.maxAnswerBytes()));
     }
 
     /** Divides the fleet's part of the platform's rates: half among all routers, half among those that combine. */
--- a/src/main/java/org/radishspan/router/RouterSettings.java
+++ b/src/main/java/org/radishspan/router/RouterSettings.java
@@ -86,13 +86,15 @@
      * @param commitGapMillis the shortest time between two writes of this VM to one object
      * @param keepOutcomesMillis how long outcomes are kept
      * @param maxIntents the most intents in one journal object
+     * @param maxAnswerBytes the longest answer that is kept for repeated calls
      */
     public record Storage(
             int ledgerPartitions,
             int journalPartitions,
             long commitGapMillis,
             long keepOutcomesMillis,
-            int maxIntents) {}
+            int maxIntents,
+            int maxAnswerBytes) {}
 
     /**
      * The limits of requests.
--- a/src/main/java/org/radishspan/router/RouterSettingsReader.java
+++ b/src/main/java/org/radishspan/router/RouterSettingsReader.java
@@ -18,6 +18,7 @@
     private static final int MAX_PARTITIONS = 4_096;
     private static final int MAX_CALLS_PER_SECOND = 10_000;
     private static final int MAX_INTENTS = 100_000;
+    private static final int MAX_ANSWER_BYTES = 65_536;
     private static final int MAX_OUTPUT_TOKENS = 1_000_000;
     private static final int MAX_HOLDERS = 8;
     private static final double PERCENT = 100.0;
@@ -78,10 +79,11 @@
     private RouterSettings.Storage storage() {
         return new RouterSettings.Storage(
                 (int) reader.wholeNumber("storage", "ledger_partitions", 1, 1, MAX_PARTITIONS),
-                (int) reader.wholeNumber("storage", "journal_partitions", 4, 1, MAX_PARTITIONS),
+                (int) reader.wholeNumber("storage", "journal_partitions", 64, 1, MAX_PARTITIONS),
                 reader.wholeNumber("storage", "commit_gap_millis", 150, 0, 10_000),
                 reader.wholeNumber("storage", "keep_outcomes_millis", MAX_MILLIS, 1_000, MAX_MILLIS * 30),
-                (int) reader.wholeNumber("storage", "max_intents", 2_000, 1, MAX_INTENTS));
+                (int) reader.wholeNumber("storage", "max_intents", 1_000, 1, MAX_INTENTS),
+                (int) reader.wholeNumber("storage", "max_answer_bytes", 16_384, 0, MAX_ANSWER_BYTES));
     }
 
     private SharePolicy shares() {
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -230,7 +230,7 @@
                 new RouterSettings.PeerPort("vm", PEER_PORT, "secret"),
                 new RouterSettings.Platform(
                         "vm", 0, 1_000, 10_000, FLEET_READS_PER_SECOND, FLEET_WRITES_PER_SECOND, false),
-                new RouterSettings.Storage(parts.ledgerPartitions, 2, parts.commitGapMillis, 86_400_000, 5_000),
+                new RouterSettings.Storage(parts.ledgerPartitions, 2, parts.commitGapMillis, 86_400_000, 5_000, 16_384),
                 parts.policy,
                 new RouterSettings.Requests(parts.deadlineMillis, 2_000, 5_000, 10_000, 4_096, 256),
                 Map.of(SERVICE, new CallReader.ServiceSpec(false, SERVICE_PRICE_TOKENS)));
--- a/src/test/java/org/radishspan/journal/JournalTest.java
+++ b/src/test/java/org/radishspan/journal/JournalTest.java
@@ -21,7 +21,7 @@
     private static final Journal.Attempt OTHER = new Journal.Attempt(KEY, "p2", 1);
     private static final Journal.Outcome OUTCOME =
             new Journal.Outcome(201, "text/plain", ByteString.copyFromUtf8("filed"));
-    private static final Journal.Retention RETENTION = new Journal.Retention(1_000, 2);
+    private static final Journal.Retention RETENTION = new Journal.Retention(1_000, 2, 10);
 
     private static Mutation<JournalState> claim(Journal.Attempt attempt, boolean repeatable, long atMillis) {
         return Journal.claim(
@@ -68,7 +68,7 @@
 
         @Test
         public void dropFinishedIntentsPastTheirTimeOnly() {
-            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null, RETENTION));
             state = apply(state, claim(new Journal.Attempt("b", "p1", 2), false, 1_000));
             assertTrue(state.containsIntents(KEY));
             state = apply(state, claim(new Journal.Attempt("c", "p1", 3), false, 1_001));
@@ -81,15 +81,26 @@
     public static class Outcomes {
         @Test
         public void areRecordedByTheOwnerOnly() {
-            assertTrue(
-                    Journal.complete(OTHER, OUTCOME, null).apply(claimed(false)).isLeft());
-            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            assertTrue(Journal.complete(OTHER, OUTCOME, null, RETENTION)
+                    .apply(claimed(false))
+                    .isLeft());
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null, RETENTION));
             assertEquals(intent(state).getAnswer().toStringUtf8(), "filed");
         }
 
+        /** A journal object grew past the platform's limit of a megabyte a value. */
+        @Test
+        public void ofGreatLengthAreKeptWithoutTheirAnswer() {
+            Journal.Outcome lengthy = new Journal.Outcome(201, "text/plain", ByteString.copyFromUtf8("eleven char"));
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, lengthy, null, RETENTION));
+            assertEquals(intent(state).getPhase(), Phase.DONE);
+            assertTrue(intent(state).getAnswerDropped());
+            assertEquals(intent(state).getAnswer().size(), 0);
+        }
+
         @Test
         public void areNotReplacedByAnUnknownOne() {
-            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null, RETENTION));
             assertTrue(Journal.giveUp(FIRST).apply(state).isLeft());
         }
     }
@@ -114,7 +125,9 @@
         @Test
         public void refusesLaterOutcomesAndClaims() {
             JournalState state = apply(claimed(true), Journal.close("p1"));
-            assertTrue(Journal.complete(FIRST, OUTCOME, null).apply(state).isLeft());
+            assertTrue(Journal.complete(FIRST, OUTCOME, null, RETENTION)
+                    .apply(state)
+                    .isLeft());
             Either<Failure, JournalState> late =
                     claim(new Journal.Attempt("b", "p1", 2), false, 0).apply(state);
             assertEquals(late.getLeft().kind(), ErrorKind.DRAINING);
@@ -122,7 +135,7 @@
 
         @Test
         public void leavesOutcomesThatAreRecorded() {
-            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null));
+            JournalState state = apply(claimed(false), Journal.complete(FIRST, OUTCOME, null, RETENTION));
             state = apply(state, Journal.close("p1"));
             assertEquals(intent(state).getPhase(), Phase.DONE);
         }
