--- a/src/main/java/org/radishspan/bench/Slope.java
+++ b/src/main/java/org/radishspan/bench/Slope.java
@@ -23,6 +23,11 @@
         this.unit = unit;
     }
 
+    /** Returns what is measured. */
+    public String measure() {
+        return measure;
+    }
+
     /** Adds a point. */
     public Slope add(double size, double value) {
         points.add(new double[] {size, value});
