--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -324,6 +324,17 @@
         return best;
     }
 
+    /** Returns how many live routers rank before this one for the recovery of a process. */
+    public int recoveryRank(String incarnation) {
+        int own = rank(self.vm() + "/" + incarnation);
+        int before = 0;
+        for (Peer peer : rows.values()) {
+            boolean first = Integer.compareUnsigned(rank(peer.vm + "/" + incarnation), own) > 0;
+            before += alive(peer) && first ? 1 : 0;
+        }
+        return before;
+    }
+
     /** Returns how many of the ledgers this router commits for. */
     public int combinedPartitions(int partitions) {
         int count = 0;
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -57,7 +57,8 @@
 
     private static final double DIRECT_PART = 0.5;
     private static final long DIVIDE_RATES_MILLIS = 1_000;
-    private static final long RECOVERY_STAGGER_MILLIS = 2_000;
+    private static final long RECOVERY_STAGGER_MILLIS = 5_000;
+    private static final int RECOVERING_ROUTERS = 3;
 
     private final RouterSettings settings;
     private final String incarnation;
@@ -75,7 +76,6 @@
     private final OrphanScan orphanScan;
     private final RequestSystem requests;
     private final CallReader callReader;
-    private final UniformRandomProvider random;
     private long requestCount;
     private long divideRatesAtMillis;
     private long nowMillis;
@@ -85,7 +85,6 @@
     public Router(RouterSettings settings, String incarnation, Ports ports) {
         this.settings = settings;
         this.incarnation = incarnation;
-        this.random = ports.random();
         this.objectPorts = objectPorts(settings, ports);
         this.ledgers = new LedgerPartitions(settings.storage().ledgerPartitions(), objectPorts);
         this.journals = new JournalPartitions(settings.storage().journalPartitions(), objectPorts);
@@ -374,7 +373,10 @@
 
         @Override
         public void onProcessGone(String gone) {
-            recovery.close(gone, nowMillis + random.nextLong(RECOVERY_STAGGER_MILLIS));
+            int rank = peers.recoveryRank(gone);
+            if (rank < RECOVERING_ROUTERS) {
+                recovery.close(gone, nowMillis + rank * RECOVERY_STAGGER_MILLIS);
+            }
         }
 
         @Override
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -152,7 +152,7 @@
         this.parts = parts;
         this.random = RandomSource.XO_SHI_RO_256_PP.create(parts.seed);
         this.platform = new VirtualPlatform(time, random, 2);
-        this.targets = new VirtualTargets(time, parts.tokenMillis);
+        this.targets = new VirtualTargets(time, random, parts.tokenMillis);
         for (int i = 0; i < parts.routers; i++) {
             addNode(i);
         }
--- a/src/main/java/org/radishspan/virtual/VirtualTargets.java
+++ b/src/main/java/org/radishspan/virtual/VirtualTargets.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.http.Json;
 
@@ -27,7 +28,9 @@
     private static final long LATENCY_MILLIS = 1;
 
     private final VirtualTime time;
+    private final UniformRandomProvider random;
     private final long tokenMillis;
+    private double strayFrames;
     private final Map<String, Integer> runsByKey = new HashMap<>();
     private final Map<String, Integer> runsByRequest = new HashMap<>();
     private final Map<String, Integer> tokensByRequest = new HashMap<>();
@@ -36,8 +39,9 @@
     private final Map<Integer, Integer> dispatchesByPort = new HashMap<>();
     private final List<Exchange> open = new ArrayList<>();
 
-    VirtualTargets(VirtualTime time, long tokenMillis) {
+    VirtualTargets(VirtualTime time, UniformRandomProvider random, long tokenMillis) {
         this.time = time;
+        this.random = random;
         this.tokenMillis = tokenMillis;
     }
 
@@ -65,6 +69,11 @@
         }
     }
 
+    /** Sends a part of the engines' frames twice, and once more on the connection of another request. */
+    public void strayFrames(double fraction) {
+        strayFrames = fraction;
+    }
+
     /** Crashes a target: open connections close, and new ones are refused until it is up again. */
     public void crash(int port) {
         downPorts.add(port);
@@ -219,6 +228,17 @@
 
         private void send(byte[] bytes) {
             say(() -> listener.onBody(bytes));
+            if (streaming() && random.nextDouble() < strayFrames) {
+                say(() -> listener.onBody(bytes));
+                Exchange other = open.get(random.nextInt(open.size()));
+                if (other.streaming()) {
+                    other.say(() -> other.listener.onBody(bytes));
+                }
+            }
+        }
+
+        private boolean streaming() {
+            return request.path().startsWith("/v1/");
         }
 
         private void end() {
--- a/src/test/java/org/radishspan/virtual/FaultRun.java
+++ b/src/test/java/org/radishspan/virtual/FaultRun.java
@@ -43,7 +43,8 @@
         MESSAGE_LOSS,
         TARGET_CRASH,
         SERVICE_CRASH,
-        SERVICE_SILENCE
+        SERVICE_SILENCE,
+        STRAY_FRAMES
     }
 
     /** One thing that a caller wants, over all its tries. */
@@ -112,6 +113,7 @@
             case TARGET_CRASH -> fleet.targets().crash(VirtualFleet.enginePort(0));
             case SERVICE_CRASH -> crashServiceNowAndThen();
             case SERVICE_SILENCE -> fleet.targets().silence(VirtualFleet.servicePort(0), true);
+            case STRAY_FRAMES -> fleet.targets().strayFrames(0.3);
             default -> throw new AssertionError(fault);
         }
     }
@@ -125,6 +127,7 @@
         fleet.platform().loseAnswers(0);
         fleet.platform().delayWrites(0);
         fleet.loseMessages(0);
+        fleet.targets().strayFrames(0);
         fleet.targets().start(VirtualFleet.enginePort(0));
         fleet.targets().silence(VirtualFleet.servicePort(0), false);
     }
