--- a/src/main/java/org/radishspan/bench/FleetBudgetRun.java
+++ b/src/main/java/org/radishspan/bench/FleetBudgetRun.java
@@ -2,7 +2,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.radishspan.budget.Ledger;
+import org.radishspan.budget.Accounts;
 import org.radishspan.budget.Reservation;
 import org.radishspan.budget.SharePolicy;
 import org.radishspan.proto.AccountState;
@@ -136,7 +136,7 @@
         for (int budget = 0; budget < scenario.demand().budgets(); budget++) {
             AccountState account = fleet.account(Demand.name(budget));
             for (ShareState share : account.getSharesList()) {
-                result.strandedTokens += share.getGrantedTokens() - Ledger.spentTokens(share);
+                result.strandedTokens += share.getGrantedTokens() - Accounts.spentTokens(share);
             }
         }
     }
@@ -144,7 +144,7 @@
     private void measureForfeits() {
         long forfeited = 0;
         for (int budget = 0; budget < scenario.demand().budgets(); budget++) {
-            forfeited += Ledger.forfeitedTokens(fleet.account(Demand.name(budget)));
+            forfeited += Accounts.forfeitedTokens(fleet.account(Demand.name(budget)));
         }
         double routerTokensPerSecond = scenario.demand().callsPerSecond() * Demand.MEAN_TOKENS / scenario.routers();
         result.forfeitedSeconds = forfeited / routerTokensPerSecond;
--- /dev/null
+++ b/src/main/java/org/radishspan/budget/Accounts.java
@@ -0,0 +1,66 @@
+package org.radishspan.budget;
+
+import org.radishspan.proto.AccountState;
+import org.radishspan.proto.ShareState;
+
+/** Figures of an account and its shares. */
+public final class Accounts {
+    private Accounts() {}
+
+    /** Returns the tokens of an account that no share holds and no bill used. */
+    public static long freeTokens(AccountState account) {
+        return account.getLimitTokens() - committedTokens(account);
+    }
+
+    /** Returns the billed tokens of an account. */
+    public static long billedTokens(AccountState account) {
+        long total = account.getClosedSpentTokens();
+        for (ShareState share : account.getSharesList()) {
+            total += spentTokens(share);
+        }
+        return total;
+    }
+
+    /** Returns the tokens of an account that no bill used. */
+    public static long unspentTokens(AccountState account) {
+        return account.getLimitTokens() - billedTokens(account);
+    }
+
+    /** Returns the demand that the routers with open shares measure together. */
+    public static long demandTokensPerSecond(AccountState account) {
+        return account.getSharesList().stream()
+                .filter(share -> !share.getClosed())
+                .mapToLong(ShareState::getDemandTokensPerSecond)
+                .sum();
+    }
+
+    /** Returns whether a share other than the given one waits for tokens. */
+    public static boolean wantedElsewhere(AccountState account, String shareId) {
+        return account.getSharesList().stream()
+                .anyMatch(share -> share.getWantedTokens() > 0
+                        && !share.getClosed()
+                        && !share.getShareId().equals(shareId));
+    }
+
+    /** Returns the unspent tokens that closed shares of an account still hold. */
+    public static long forfeitedTokens(AccountState account) {
+        return account.getSharesList().stream()
+                .filter(ShareState::getClosed)
+                .mapToLong(share -> share.getGrantedTokens() - spentTokens(share))
+                .sum();
+    }
+
+    /** Returns the billed tokens of a share. */
+    public static long spentTokens(ShareState share) {
+        return share.getSpentTokens() + share.getKeyedSpentTokens();
+    }
+
+    /** Returns the tokens that bills used or shares hold. */
+    public static long committedTokens(AccountState account) {
+        long total = account.getClosedSpentTokens();
+        for (ShareState share : account.getSharesList()) {
+            total += share.getGrantedTokens();
+        }
+        return total;
+    }
+}
--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -15,7 +15,6 @@
 import org.radishspan.proto.AuditState;
 import org.radishspan.proto.HolderState;
 import org.radishspan.proto.ShareState;
-import org.radishspan.proto.TransferState;
 
 /**
  * The idempotent mutations of a ledger object.
@@ -117,7 +116,7 @@
                 return Either.right(state);
             }
             long limit = change.apply(account.getLimitTokens());
-            long committed = committedTokens(account);
+            long committed = Accounts.committedTokens(account);
             if (limit < committed) {
                 return Either.left(Failure.notRun(
                         ErrorKind.CONFLICT,
@@ -150,7 +149,7 @@
             if (share.getClosed()) {
                 return Either.left(closed(request.shareId()));
             }
-            long granted = rule.grantTokens(freeTokens(account), account, request);
+            long granted = rule.grantTokens(Accounts.freeTokens(account), account, request);
             boolean enough = granted >= request.minimumTokens();
             ShareState changed = share.toBuilder()
                     .setRequestSeq(request.requestSeq())
@@ -176,7 +175,7 @@
                     .setWantedTokens(0)
                     .setDemandTokensPerSecond(demandTokensPerSecond)
                     .build();
-            if (changed.getGrantedTokens() < spentTokens(changed)) {
+            if (changed.getGrantedTokens() < Accounts.spentTokens(changed)) {
                 return Either.left(
                         Failure.notRun(ErrorKind.INTERNAL, "share " + shareId + " gave back tokens it had spent"));
             }
@@ -222,52 +221,13 @@
                 .setKeyedSeq(Math.max(share.getKeyedSeq(), settlement.keyedSeq()))
                 .setKeyedSpentTokens(Math.max(share.getKeyedSpentTokens(), settlement.keyedSpentTokens()))
                 .build();
-        if (spentTokens(changed) > changed.getGrantedTokens()) {
+        if (Accounts.spentTokens(changed) > changed.getGrantedTokens()) {
             return Either.left(Failure.ran(
                     ErrorKind.INTERNAL, "share " + settlement.shareId() + " would spend more than it was granted"));
         }
         return Either.right(putShare(state, account, index, changed));
     }
 
-    /** Moves granted tokens between two shares, up to a running total for the pair. */
-    public static Mutation<LedgerBook> transfer(String budget, String fromShare, String toShare, long totalTokens) {
-        return onShare(budget, toShare, (state, account, toIndex) -> {
-            ShareState to = account.getShares(toIndex);
-            long moved = to.getTransfersInList().stream()
-                    .filter(transfer -> transfer.getFromShare().equals(fromShare))
-                    .mapToLong(TransferState::getTotalTokens)
-                    .findFirst()
-                    .orElse(0);
-            if (moved >= totalTokens) {
-                return Either.right(state);
-            }
-            int fromIndex = indexOf(account, fromShare);
-            if (fromIndex < 0) {
-                return Either.left(Failure.notRun(ErrorKind.SHARE_LOST, "share " + fromShare + " is gone"));
-            }
-            ShareState from = account.getShares(fromIndex);
-            long tokens = totalTokens - moved;
-            AccountState changed = account.toBuilder()
-                    .setShares(fromIndex, from.toBuilder().setGrantedTokens(from.getGrantedTokens() - tokens))
-                    .setShares(toIndex, withTransfer(to, fromShare, totalTokens, tokens))
-                    .build();
-            return Either.right(state.with(changed));
-        });
-    }
-
-    private static ShareState withTransfer(ShareState to, String fromShare, long totalTokens, long tokens) {
-        ShareState.Builder builder = to.toBuilder().setGrantedTokens(to.getGrantedTokens() + tokens);
-        builder.clearTransfersIn();
-        for (TransferState transfer : to.getTransfersInList()) {
-            if (!transfer.getFromShare().equals(fromShare)) {
-                builder.addTransfersIn(transfer);
-            }
-        }
-        return builder.addTransfersIn(
-                        TransferState.newBuilder().setFromShare(fromShare).setTotalTokens(totalTokens))
-                .build();
-    }
-
     /** Closes every share of a router process that is taken for dead; its own reports are refused from then on. */
     public static Mutation<LedgerBook> close(String incarnation) {
         return onShares(
@@ -338,7 +298,7 @@
             AuditState audit = audit(
                     operation,
                     "budget release " + budget,
-                    "share " + shareId + " holds " + (share.getGrantedTokens() - spentTokens(share)),
+                    "share " + shareId + " holds " + (share.getGrantedTokens() - Accounts.spentTokens(share)),
                     "released");
             return Either.right(removeShare(state.with(audit), budget, shareId));
         };
@@ -364,54 +324,6 @@
                 && !account.getReclaim().equals(ReclaimMode.OPERATOR.wireName());
     }
 
-    /** Returns the tokens of an account that no share holds and no bill used. */
-    public static long freeTokens(AccountState account) {
-        return account.getLimitTokens() - committedTokens(account);
-    }
-
-    /** Returns the billed tokens of an account. */
-    public static long billedTokens(AccountState account) {
-        long total = account.getClosedSpentTokens();
-        for (ShareState share : account.getSharesList()) {
-            total += spentTokens(share);
-        }
-        return total;
-    }
-
-    /** Returns the tokens of an account that no bill used. */
-    public static long unspentTokens(AccountState account) {
-        return account.getLimitTokens() - billedTokens(account);
-    }
-
-    /** Returns the demand that the routers with open shares measure together. */
-    public static long demandTokensPerSecond(AccountState account) {
-        return account.getSharesList().stream()
-                .filter(share -> !share.getClosed())
-                .mapToLong(ShareState::getDemandTokensPerSecond)
-                .sum();
-    }
-
-    /** Returns whether a share other than the given one waits for tokens. */
-    public static boolean wantedElsewhere(AccountState account, String shareId) {
-        return account.getSharesList().stream()
-                .anyMatch(share -> share.getWantedTokens() > 0
-                        && !share.getClosed()
-                        && !share.getShareId().equals(shareId));
-    }
-
-    /** Returns the unspent tokens that closed shares of an account still hold. */
-    public static long forfeitedTokens(AccountState account) {
-        return account.getSharesList().stream()
-                .filter(ShareState::getClosed)
-                .mapToLong(share -> share.getGrantedTokens() - spentTokens(share))
-                .sum();
-    }
-
-    /** Returns the billed tokens of a share. */
-    public static long spentTokens(ShareState share) {
-        return share.getSpentTokens() + share.getKeyedSpentTokens();
-    }
-
     /** Returns a share of an account. */
     public static Optional<ShareState> share(LedgerBook state, String budget, String shareId) {
         AccountState account = state.account(budget);
@@ -419,14 +331,6 @@
         return account == null || index < 0 ? Optional.empty() : Optional.of(account.getShares(index));
     }
 
-    private static long committedTokens(AccountState account) {
-        long total = account.getClosedSpentTokens();
-        for (ShareState share : account.getSharesList()) {
-            total += share.getGrantedTokens();
-        }
-        return total;
-    }
-
     private static ShareState newShare(GrantRequest request) {
         return ShareState.newBuilder()
                 .setShareId(request.shareId())
@@ -462,7 +366,7 @@
         AccountState account = state.find(budget).orElseThrow();
         int index = indexOf(account, shareId);
         AccountState changed = account.toBuilder()
-                .setClosedSpentTokens(account.getClosedSpentTokens() + spentTokens(account.getShares(index)))
+                .setClosedSpentTokens(account.getClosedSpentTokens() + Accounts.spentTokens(account.getShares(index)))
                 .removeShares(index)
                 .build();
         return state.with(changed);
--- a/src/main/java/org/radishspan/budget/LedgerOps.java
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -133,9 +133,9 @@
         if (account != null) {
             Optional<ShareState> share = Ledger.share(outcome.get(), op.getBudget(), shareId(op));
             share.ifPresent(builder::setShare);
-            builder.setUnspentTokens(Ledger.unspentTokens(account));
-            builder.setDemandTokensPerSecond(Ledger.demandTokensPerSecond(account));
-            builder.setWantedElsewhere(Ledger.wantedElsewhere(account, shareId(op)));
+            builder.setUnspentTokens(Accounts.unspentTokens(account));
+            builder.setDemandTokensPerSecond(Accounts.demandTokensPerSecond(account));
+            builder.setWantedElsewhere(Accounts.wantedElsewhere(account, shareId(op)));
         }
         return builder.build();
     }
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -56,13 +56,12 @@
     private static final double EXCESS_FACTOR = 1.25;
     private static final long IDLE_MILLIS = 15_000;
     private static final long NOTICE_MILLIS = 1_000;
-    private static final long HANDOVER_RETRY_MILLIS = 200;
 
     private final Identity identity;
     private final LedgerGateway ledgers;
     private final ShareTable table = new ShareTable();
     private final ShortageNotice shortage;
-    private final BillHandover handover;
+    private final BillFlow bills;
     private final HolderChoice holderChoice;
     private final ShareCounters counters = new ShareCounters();
     private SharePolicy policy;
@@ -82,7 +81,7 @@
         this.ledgers = ledgers;
         this.policy = policy;
         this.shortage = shortage;
-        this.handover = handover;
+        this.bills = new BillFlow(ledgers, handover, counters, this::lose);
         this.holderChoice = holderChoice;
     }
 
@@ -166,14 +165,15 @@
     /** Runs over all shares. */
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
+        bills.startTick(tickMillis, policy);
         boolean measure = tickMillis - rateAtMillis >= RATE_PERIOD_MILLIS;
         for (Share share : List.copyOf(table.rows())) {
             if (measure) {
                 measureDemand(share, tickMillis - rateAtMillis);
             }
             serveWaiters(share);
-            settle(share);
-            handOver(share);
+            bills.settle(share);
+            bills.handOver(share);
             adjust(share);
         }
         if (measure) {
@@ -347,7 +347,7 @@
         }
     }
 
-    private static void observe(Share share, LedgerResult result) {
+    static void observe(Share share, LedgerResult result) {
         share.accountSeen = true;
         share.unspentTokens = result.getUnspentTokens();
         share.fleetDemandTokensPerSecond = result.getDemandTokensPerSecond();
@@ -401,63 +401,6 @@
         giveBack(share, half);
     }
 
-    private void settle(Share share) {
-        if (share.settleInFlight || share.committedSettleSeq == share.settleSeq) {
-            return;
-        }
-        share.settleInFlight = true;
-        share.settleSubmittedAtMillis = nowMillis;
-        Ledger.Settlement settlement = share.settlement();
-        ledgers.submit(
-                share.partition,
-                LedgerOps.settle(share.budget, settlement),
-                result -> onSettled(share, settlement, result));
-    }
-
-    private void onSettled(Share share, Ledger.Settlement settlement, LedgerResult result) {
-        if (!share.shareId.equals(settlement.shareId())) {
-            return;
-        }
-        share.settleInFlight = false;
-        if (LedgerOps.failure(result).isPresent()) {
-            lose(share);
-            return;
-        }
-        observe(share, result);
-        share.committedSettleSeq = Math.max(share.committedSettleSeq, settlement.settleSeq());
-        releaseBills(share, settlement.settleSeq());
-    }
-
-    private static void releaseBills(Share share, long settleSeq) {
-        while (!share.bills.isEmpty() && share.bills.peek().settleSeq() <= settleSeq) {
-            share.bills.remove().done().accept(Either.right(null));
-        }
-    }
-
-    private void handOver(Share share) {
-        boolean late = share.settleInFlight
-                && nowMillis - share.settleSubmittedAtMillis >= policy.handoverAfterMillis()
-                && nowMillis >= share.nextHandoverAtMillis;
-        if (!late || share.bills.isEmpty()) {
-            return;
-        }
-        share.nextHandoverAtMillis = nowMillis + HANDOVER_RETRY_MILLIS;
-        Ledger.Settlement settlement = share.settlement();
-        for (String holder : List.copyOf(share.holders)) {
-            counters.handovers++;
-            handover.send(holder, share.budget, settlement, accepted -> onHeld(share, holder, settlement, accepted));
-        }
-    }
-
-    private void onHeld(Share share, String holder, Ledger.Settlement settlement, boolean accepted) {
-        boolean current = share.shareId.equals(settlement.shareId()) && share.holders.contains(holder);
-        if (!accepted || !current) {
-            return;
-        }
-        share.heldSettleSeq = Math.max(share.heldSettleSeq, settlement.settleSeq());
-        releaseBills(share, settlement.settleSeq());
-    }
-
     /** Gives every share back whole; to be called again until {@link #retired}. */
     public void retire() {
         for (Share share : List.copyOf(table.rows())) {
--- a/src/main/java/org/radishspan/cli/Commands.java
+++ b/src/main/java/org/radishspan/cli/Commands.java
@@ -58,6 +58,12 @@
                         "put presets in force",
                         presetOptions(),
                         Commands::preset),
+                new Command(
+                        "quarantine",
+                        "release FINGERPRINT",
+                        "let a request run again that broke targets",
+                        operator(),
+                        Commands::quarantine),
                 new Command("audit", "", "print who changed what", operator(), Commands::audit),
                 new Command(
                         "stand-in",
@@ -186,6 +192,12 @@
         return new OperatorClient(line, out).get("/status");
     }
 
+    private static int quarantine(CommandLine line, PrintWriter out) throws Command.UsageException {
+        requireAction(argument(line, 0, "an action"), List.of("release"));
+        ObjectNode body = Json.object().put("name", argument(line, 1, "FINGERPRINT"));
+        return new OperatorClient(line, out).post("/quarantine/release", body);
+    }
+
     private static int audit(CommandLine line, PrintWriter out) throws Command.UsageException {
         return new OperatorClient(line, out).get("/audit");
     }
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -1,7 +1,6 @@
 package org.radishspan.peer;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,9 +10,6 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
-import org.agrona.collections.Object2ObjectHashMap;
-import org.apache.commons.codec.digest.MurmurHash3;
-import org.jspecify.annotations.Nullable;
 import org.radishspan.budget.Ledger;
 import org.radishspan.proto.BillHandover;
 import org.radishspan.proto.BillHandoverReply;
@@ -24,10 +20,9 @@
 import org.radishspan.proto.LoadReport;
 import org.radishspan.proto.PeerMessage;
 import org.radishspan.proto.ShareWanted;
+import org.radishspan.proto.Strike;
 import org.radishspan.routing.TargetTable.ListedVm;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** Keeps the table of other routers, tells them of this one, and passes on what they say. */
 public final class PeerSystem {
 
@@ -57,6 +52,9 @@
         /** Looks at a ledger because a share in it was closed. */
         void onLedgerNotice(int partition);
 
+        /** Hears that a request broke a target at a peer, or, without a target, that it may run again. */
+        void onStrike(String fingerprint, String target);
+
         /** Hears that a peer has a configuration revision. */
         void onRevision(long revision);
 
@@ -67,38 +65,35 @@
         void onProcessAlive(String incarnation);
     }
 
-    private static final long REPORT_MILLIS = 500;
     private static final long GONE_AFTER_UNLISTED_MILLIS = 3_000;
     private static final long MAX_PENDING_HANDOVERS = 10_000;
-    private static final int SILENT_REPORTS = 4;
-    private static final int PEERS_AT_FULL_RATE = 6;
 
     private final Self self;
     private final PeerLink link;
     private final Handlers handlers;
     private final LongSupplier configRevision;
     private final IntSupplier requestsInFlight;
-    private final Object2ObjectHashMap<String, Peer> rows = new Object2ObjectHashMap<>();
+    private final PeerTable table;
     private final Map<Long, Consumer<Boolean>> pendingHandovers = new LinkedHashMap<>();
     private long handoverCount;
     private long nextReportAtMillis;
     private long nowMillis;
     private boolean draining;
-    private boolean listSeen;
 
     /** Creates the system. */
     public PeerSystem(
             Self self, PeerLink link, Handlers handlers, LongSupplier configRevision, IntSupplier requestsInFlight) {
         this.self = self;
+        this.table = new PeerTable(self);
         this.link = link;
         this.handlers = handlers;
         this.configRevision = configRevision;
         this.requestsInFlight = requestsInFlight;
     }
 
-    /** Returns the peers. */
-    public Collection<Peer> rows() {
-        return rows.values();
+    /** Returns the other routers. */
+    public PeerTable table() {
+        return table;
     }
 
     /** Tells peers from now on that this router is stopping. */
@@ -108,7 +103,7 @@
 
     /** Takes over the routers of the platform's list. */
     public void replace(List<ListedVm> routers) {
-        listSeen = true;
+        table.noteListSeen();
         Set<String> names = new HashSet<>();
         for (ListedVm vm : routers) {
             if (vm.name().equals(self.vm())) {
@@ -117,7 +112,7 @@
             names.add(vm.name());
             put(vm);
         }
-        for (Peer peer : rows.values()) {
+        for (Peer peer : table.rows()) {
             if (!names.contains(peer.vm) && peer.listed) {
                 peer.listed = false;
                 peer.unlistedAtMillis = nowMillis;
@@ -126,9 +121,9 @@
     }
 
     private void put(ListedVm vm) {
-        Peer peer = rows.get(vm.name());
+        Peer peer = table.get(vm.name());
         if (peer == null) {
-            rows.put(vm.name(), new Peer(vm.name(), vm.host(), vm.port(), vm.failureDomain()));
+            table.add(new Peer(vm.name(), vm.host(), vm.port(), vm.failureDomain()));
             return;
         }
         peer.host = vm.host();
@@ -151,7 +146,7 @@
 
     /** Takes a message of a peer whose hello was accepted. */
     public void onMessage(String vm, PeerMessage message) {
-        Peer peer = rows.get(vm);
+        Peer peer = table.get(vm);
         if (peer == null) {
             return;
         }
@@ -168,6 +163,10 @@
             case LEDGER_ANSWER -> handlers.onLedgerAnswer(message.getLedgerAnswer());
             case LEDGER_NOTICE ->
                 handlers.onLedgerNotice(message.getLedgerNotice().getPartition());
+            case STRIKE ->
+                handlers.onStrike(
+                        message.getStrike().getFingerprint(),
+                        message.getStrike().getTarget());
             default -> {}
         }
     }
@@ -230,7 +229,7 @@
 
     /** Hands the running totals of a share to another router process. */
     public void handOver(String holder, String budget, Ledger.Settlement settlement, Consumer<Boolean> accepted) {
-        Peer peer = byIncarnation(holder);
+        Peer peer = table.byIncarnation(holder);
         if (peer == null) {
             accepted.accept(false);
             return;
@@ -252,22 +251,13 @@
                         .build());
     }
 
-    private @Nullable Peer byIncarnation(String incarnation) {
-        for (Peer peer : rows.values()) {
-            if (peer.incarnation.equals(incarnation)) {
-                return peer;
-            }
-        }
-        return null;
-    }
-
     /** Asks a holder of a closed share to look at a ledger; this router looks itself if it is the holder. */
     public void noticeHolder(String holder, int partition) {
         if (holder.equals(self.incarnation())) {
             handlers.onLedgerNotice(partition);
             return;
         }
-        Peer peer = byIncarnation(holder);
+        Peer peer = table.byIncarnation(holder);
         if (peer != null) {
             send(
                     peer,
@@ -277,6 +267,16 @@
         }
     }
 
+    /** Tells every peer that a request broke a target, or, without a target, that it may run again. */
+    public void announceStrike(String fingerprint, String target) {
+        PeerMessage message = PeerMessage.newBuilder()
+                .setStrike(Strike.newBuilder().setFingerprint(fingerprint).setTarget(target))
+                .build();
+        for (Peer peer : table.rows()) {
+            send(peer, message);
+        }
+    }
+
     /** Tells every peer that a share of a budget is short of tokens. */
     public void announceShortage(String budget, String shareId, long tokens) {
         PeerMessage message = PeerMessage.newBuilder()
@@ -285,105 +285,27 @@
                         .setShareId(shareId)
                         .setTokens(tokens))
                 .build();
-        for (Peer peer : rows.values()) {
+        for (Peer peer : table.rows()) {
             send(peer, message);
         }
     }
 
-    /** Returns live router processes to keep bills, those in other failure domains first. */
-    public List<String> chooseHolders(int count) {
-        List<Peer> candidates = new ArrayList<>();
-        for (Peer peer : rows.values()) {
-            if (alive(peer)) {
-                candidates.add(peer);
-            }
-        }
-        candidates.sort((left, right) -> {
-            int byDomain = Boolean.compare(sameDomain(left), sameDomain(right));
-            return byDomain != 0 ? byDomain : Integer.compareUnsigned(rank(left), rank(right));
-        });
-        return candidates.stream().limit(count).map(Peer::incarnation).toList();
-    }
-
-    private boolean alive(Peer peer) {
-        boolean heard = nowMillis - peer.lastHeardMillis < silentMillis();
-        return heard && !peer.draining && !peer.incarnation.isEmpty();
-    }
-
-    /** Returns the VM that ranks first for a ledger among the live ones; empty text if it is this one. */
-    public String combinerOf(int partition) {
-        String best = "";
-        int bestRank = rank(self.vm() + "/" + partition);
-        for (Peer peer : rows.values()) {
-            int peerRank = rank(peer.vm + "/" + partition);
-            if (alive(peer) && Integer.compareUnsigned(peerRank, bestRank) > 0) {
-                best = peer.vm;
-                bestRank = peerRank;
-            }
-        }
-        return best;
-    }
-
-    /** Returns how many live routers rank before this one for the recovery of a process. */
-    public int recoveryRank(String incarnation) {
-        int own = rank(self.vm() + "/" + incarnation);
-        int before = 0;
-        for (Peer peer : rows.values()) {
-            boolean first = Integer.compareUnsigned(rank(peer.vm + "/" + incarnation), own) > 0;
-            before += alive(peer) && first ? 1 : 0;
-        }
-        return before;
-    }
-
-    /** Returns how many of the ledgers this router commits for. */
-    public int combinedPartitions(int partitions) {
-        int count = 0;
-        for (int partition = 0; partition < partitions; partition++) {
-            count += combinerOf(partition).isEmpty() ? 1 : 0;
-        }
-        return count;
-    }
-
-    /** Returns whether a process has ended: another one runs on its VM, or the platform does not list the VM. */
-    public boolean processEnded(String vm, String incarnation) {
-        if (vm.equals(self.vm())) {
-            return !incarnation.equals(self.incarnation());
-        }
-        Peer peer = rows.get(vm);
-        if (peer == null) {
-            return listSeen;
-        }
-        return alive(peer) && !peer.incarnation.equals(incarnation);
-    }
-
     /** Sends a message to a VM, if it is known. */
     public void sendTo(String vm, PeerMessage message) {
-        Peer peer = rows.get(vm);
+        Peer peer = table.get(vm);
         if (peer != null) {
             send(peer, message);
         }
     }
 
-    private boolean sameDomain(Peer peer) {
-        return peer.failureDomain.equals(self.failureDomain());
-    }
-
-    private int rank(Peer peer) {
-        return rank(self.incarnation() + "/" + peer.incarnation);
-    }
-
-    private static int rank(String text) {
-        byte[] bytes = text.getBytes(UTF_8);
-        return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
-    }
-
     /** Reports to peers and notices those that are gone. */
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
+        table.setNow(tickMillis);
         if (tickMillis < nextReportAtMillis) {
             return;
         }
-        nextReportAtMillis = tickMillis + reportMillis();
+        nextReportAtMillis = tickMillis + table.reportMillis();
         PeerMessage report = PeerMessage.newBuilder()
                 .setLoad(LoadReport.newBuilder()
                         .setConfigRevision(configRevision.getAsLong())
@@ -391,36 +313,19 @@
                         .setDraining(draining)
                         .setIncarnation(self.incarnation()))
                 .build();
-        for (Peer peer : new ArrayList<>(rows.values())) {
+        for (Peer peer : new ArrayList<>(table.rows())) {
             send(peer, report);
             noticeGone(peer);
         }
     }
 
-    /** Returns the time between two reports, which grows with the fleet so that the bytes a second do not. */
-    private long reportMillis() {
-        return REPORT_MILLIS * Math.max(1, rows.size() / PEERS_AT_FULL_RATE);
-    }
-
-    private long silentMillis() {
-        return reportMillis() * SILENT_REPORTS;
-    }
-
-    /** Notes that a peer did not answer; it counts as alive again once it is heard. */
-    public void onUnanswered(String vm) {
-        Peer peer = rows.get(vm);
-        if (peer != null) {
-            peer.lastHeardMillis = nowMillis - silentMillis();
-        }
-    }
-
     private void noticeGone(Peer peer) {
-        boolean silent = nowMillis - peer.lastHeardMillis >= silentMillis();
+        boolean silent = nowMillis - peer.lastHeardMillis >= table.silentMillis();
         boolean unlisted = !peer.listed && nowMillis - peer.unlistedAtMillis >= GONE_AFTER_UNLISTED_MILLIS;
         if (!silent || !unlisted) {
             return;
         }
-        rows.remove(peer.vm);
+        table.remove(peer);
         if (!peer.incarnation.isEmpty()) {
             handlers.onProcessGone(peer.incarnation);
         }
--- /dev/null
+++ b/src/main/java/org/radishspan/peer/PeerTable.java
@@ -0,0 +1,164 @@
+package org.radishspan.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+import org.agrona.collections.Object2ObjectHashMap;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.jspecify.annotations.Nullable;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/**
+ * The other routers, one row a VM, and what follows from who is alive.
+ *
+ * <p>All answers are hints: two routers may see different peers as alive, and everything built on this stays safe then.
+ */
+public final class PeerTable {
+    private static final long REPORT_MILLIS = 500;
+    private static final int SILENT_REPORTS = 4;
+    private static final int PEERS_AT_FULL_RATE = 6;
+
+    private final PeerSystem.Self self;
+    private final Object2ObjectHashMap<String, Peer> rows = new Object2ObjectHashMap<>();
+    private boolean listSeen;
+    private long nowMillis;
+
+    PeerTable(PeerSystem.Self self) {
+        this.self = self;
+    }
+
+    /** Returns the peers. */
+    public Collection<Peer> rows() {
+        return rows.values();
+    }
+
+    @Nullable
+    Peer get(String vm) {
+        return rows.get(vm);
+    }
+
+    void add(Peer peer) {
+        rows.put(peer.vm, peer);
+    }
+
+    void remove(Peer peer) {
+        rows.remove(peer.vm);
+    }
+
+    /** Notes that the platform's list was seen, so that a VM without a row is known not to be in it. */
+    void noteListSeen() {
+        listSeen = true;
+    }
+
+    void setNow(long millis) {
+        nowMillis = millis;
+    }
+
+    @Nullable
+    Peer byIncarnation(String incarnation) {
+        for (Peer peer : rows.values()) {
+            if (peer.incarnation.equals(incarnation)) {
+                return peer;
+            }
+        }
+        return null;
+    }
+
+    boolean alive(Peer peer) {
+        boolean heard = nowMillis - peer.lastHeardMillis < silentMillis();
+        return heard && !peer.draining && !peer.incarnation.isEmpty();
+    }
+
+    /** Returns live router processes to keep bills, those in other failure domains first. */
+    public List<String> chooseHolders(int count) {
+        List<Peer> candidates = new ArrayList<>();
+        for (Peer peer : rows.values()) {
+            if (alive(peer)) {
+                candidates.add(peer);
+            }
+        }
+        candidates.sort((left, right) -> {
+            int byDomain = Boolean.compare(sameDomain(left), sameDomain(right));
+            return byDomain != 0 ? byDomain : Integer.compareUnsigned(rank(left), rank(right));
+        });
+        return candidates.stream().limit(count).map(Peer::incarnation).toList();
+    }
+
+    /** Returns the VM that ranks first for a ledger among the live ones; empty text if it is this one. */
+    public String combinerOf(int partition) {
+        String best = "";
+        int bestRank = rank(self.vm() + "/" + partition);
+        for (Peer peer : rows.values()) {
+            int peerRank = rank(peer.vm + "/" + partition);
+            if (alive(peer) && Integer.compareUnsigned(peerRank, bestRank) > 0) {
+                best = peer.vm;
+                bestRank = peerRank;
+            }
+        }
+        return best;
+    }
+
+    /** Returns how many live routers rank before this one for the recovery of a process. */
+    public int recoveryRank(String incarnation) {
+        int own = rank(self.vm() + "/" + incarnation);
+        int before = 0;
+        for (Peer peer : rows.values()) {
+            boolean first = Integer.compareUnsigned(rank(peer.vm + "/" + incarnation), own) > 0;
+            before += alive(peer) && first ? 1 : 0;
+        }
+        return before;
+    }
+
+    /** Returns how many of the ledgers this router commits for. */
+    public int combinedPartitions(int partitions) {
+        int count = 0;
+        for (int partition = 0; partition < partitions; partition++) {
+            count += combinerOf(partition).isEmpty() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Returns whether a process has ended: another one runs on its VM, or the platform does not list the VM. */
+    public boolean processEnded(String vm, String incarnation) {
+        if (vm.equals(self.vm())) {
+            return !incarnation.equals(self.incarnation());
+        }
+        Peer peer = rows.get(vm);
+        if (peer == null) {
+            return listSeen;
+        }
+        return alive(peer) && !peer.incarnation.equals(incarnation);
+    }
+
+    private boolean sameDomain(Peer peer) {
+        return peer.failureDomain.equals(self.failureDomain());
+    }
+
+    private int rank(Peer peer) {
+        return rank(self.incarnation() + "/" + peer.incarnation);
+    }
+
+    private static int rank(String text) {
+        byte[] bytes = text.getBytes(UTF_8);
+        return MurmurHash3.hash32x86(bytes, 0, bytes.length, 0);
+    }
+
+    /** Returns the time between two reports, which grows with the fleet so that the bytes a second do not. */
+    long reportMillis() {
+        return REPORT_MILLIS * Math.max(1, rows.size() / PEERS_AT_FULL_RATE);
+    }
+
+    long silentMillis() {
+        return reportMillis() * SILENT_REPORTS;
+    }
+
+    /** Notes that a peer did not answer; it counts as alive again once it is heard. */
+    public void onUnanswered(String vm) {
+        Peer peer = rows.get(vm);
+        if (peer != null) {
+            peer.lastHeardMillis = nowMillis - silentMillis();
+        }
+    }
+}
--- a/src/main/java/org/radishspan/request/DispatchSystem.java
+++ b/src/main/java/org/radishspan/request/DispatchSystem.java
@@ -30,6 +30,7 @@
     private final RequestCounters counters;
     private final RequestSystem.Ports ports;
     private final RequestSystem.Limits limits;
+    private final StrikeTable strikes;
     private final TargetTable targets;
     private final Finisher finisher;
     private long nowMillis;
@@ -39,18 +40,33 @@
             RequestCounters counters,
             RequestSystem.Ports ports,
             RequestSystem.Limits limits,
+            StrikeTable strikes,
             Finisher finisher) {
         this.table = table;
         this.counters = counters;
         this.ports = ports;
         this.limits = limits;
+        this.strikes = strikes;
         this.targets = ports.targets();
         this.finisher = finisher;
     }
 
     void dispatch(Request request, long tickMillis) {
         nowMillis = tickMillis;
+        long refusedMillis = strikes.refusedMillis(request.spec.fingerprint(), tickMillis);
+        if (refusedMillis > 0) {
+            finisher.fail(request, quarantined(request, refusedMillis));
+            return;
+        }
         List<Target> candidates = targets.candidates(request.spec.serves(), request.excludedTargets, tickMillis);
+        request.suspect = strikes.suspect(request.spec.fingerprint());
+        if (request.suspect && !candidates.isEmpty()) {
+            candidates = TargetTable.withoutSuspects(candidates);
+            if (candidates.isEmpty()) {
+                // The sweep over all requests brings it back here.
+                return;
+            }
+        }
         Optional<Target> chosen = ports.chooser().choose(candidates, limits.failureDomain());
         if (chosen.isEmpty()) {
             finisher.fail(request, noTarget(request));
@@ -64,6 +80,12 @@
         send(request, chosen.get(), "POST", request.spec.path(), request.spec.body());
     }
 
+    private static Failure quarantined(Request request, long refusedMillis) {
+        String message = "the request broke several targets and is refused for a while";
+        Failure.Ran ran = request.dispatched ? Failure.Ran.UNKNOWN : Failure.Ran.NO;
+        return new Failure(ErrorKind.QUARANTINED, message, ran, refusedMillis);
+    }
+
     private static Failure noTarget(Request request) {
         Failure failure = request.dispatched
                 ? Failure.unknown(ErrorKind.TARGET_FAILED, "every target of " + request.spec.serves() + " failed")
@@ -96,6 +118,9 @@
         request.phase = Request.Phase.RUNNING;
         request.target = target;
         targets.onDispatched(target);
+        if (request.suspect) {
+            targets.addSuspect(target);
+        }
         Map<String, String> headers = new HashMap<>();
         headers.put("content-type", "application/json");
         headers.put("x-request-id", request.requestId);
@@ -124,12 +149,22 @@
             return;
         }
         call.cancel();
+        if (request.suspect) {
+            targets.removeSuspect(target, false, nowMillis);
+        }
         request.call = null;
         request.target = null;
         targets.onFinished(target, true, nowMillis);
     }
 
-    private void onBroken(Request request, String message, boolean sent, boolean refused) {
+    /**
+     * Takes the end of an attempt without an answer.
+     *
+     * @param sent whether the target may have seen the request
+     * @param refused whether the target said that it executed nothing
+     * @param lost whether the connection ended, as it does when a target crashes
+     */
+    private void onBroken(Request request, String message, boolean sent, boolean refused, boolean lost) {
         request.dispatched |= sent && !refused;
         Target failed = request.target;
         request.call = null;
@@ -137,6 +172,9 @@
         if (failed != null) {
             targets.onFinished(failed, refused, nowMillis);
         }
+        if (failed != null) {
+            noteSuspect(request, failed, lost);
+        }
         if (resumable(request, failed, sent, refused)) {
             resume(request, failed);
             return;
@@ -162,6 +200,16 @@
         table.moveTo(request, Request.Phase.DISPATCH);
     }
 
+    private void noteSuspect(Request request, Target failed, boolean lost) {
+        boolean toBlame = request.suspect || !targets.suspectInvolved(failed, nowMillis);
+        if (request.suspect) {
+            targets.removeSuspect(failed, lost, nowMillis);
+        }
+        if (lost && toBlame) {
+            strikes.strike(request.spec.fingerprint(), failed.name(), nowMillis);
+        }
+    }
+
     private static boolean resumable(Request request, @Nullable Target failed, boolean sent, boolean refused) {
         return failed != null
                 && sent
@@ -233,7 +281,7 @@
             if (crossed) {
                 counters.droppedFrames++;
             }
-            onBroken(request, message, true, refused);
+            onBroken(request, message, true, refused, false);
         }
 
         @Override
@@ -258,12 +306,16 @@
                 return;
             }
             if (!answer.whole()) {
-                onBroken(request, "the target's answer ended early", true, false);
+                onBroken(request, "the target's answer ended early", true, false, true);
                 return;
             }
             request.dispatched = true;
             request.call = null;
             request.target = null;
+            if (request.suspect) {
+                targets.removeSuspect(target, false, nowMillis);
+            }
+            strikes.clear(request.spec.fingerprint());
             targets.onFinished(target, true, nowMillis);
             table.moveTo(request, Request.Phase.BILL);
         }
@@ -273,7 +325,7 @@
             if (late()) {
                 return;
             }
-            onBroken(request, message, sent, false);
+            onBroken(request, message, sent, false, sent);
         }
     }
 }
--- a/src/main/java/org/radishspan/request/Request.java
+++ b/src/main/java/org/radishspan/request/Request.java
@@ -62,6 +62,7 @@
     int relayedEvents;
     boolean dispatched;
     boolean callerGone;
+    boolean suspect;
     boolean ready;
 
     Request(String requestId, CallSpec spec, CallerReply reply, long deadlineMillis) {
--- a/src/main/java/org/radishspan/request/RequestSystem.java
+++ b/src/main/java/org/radishspan/request/RequestSystem.java
@@ -25,6 +25,7 @@
      * @param chooser how a target is chosen
      * @param transport the way to targets
      * @param requestIds yields a new id with each call
+     * @param strikeNotice tells the other routers of requests that break targets
      */
     public record Ports(
             ShareSystem shares,
@@ -32,7 +33,8 @@
             TargetTable targets,
             TargetChooser chooser,
             HttpTransport transport,
-            Supplier<String> requestIds) {}
+            Supplier<String> requestIds,
+            StrikeTable.Notice strikeNotice) {}
 
     /**
      * The limits of requests.
@@ -59,6 +61,7 @@
     private final Limits limits;
     private final RequestTable table = new RequestTable();
     private final RequestCounters counters = new RequestCounters();
+    private final StrikeTable strikes;
     private final Finisher finisher;
     private final ClaimSystem claims;
     private final DispatchSystem dispatch;
@@ -70,6 +73,7 @@
     /** Creates the system. */
     public RequestSystem(Ports ports, Limits limits) {
         this.ports = ports;
+        this.strikes = new StrikeTable(ports.strikeNotice());
         this.limits = limits;
         this.finisher = new RowFinisher();
         this.claims = new ClaimSystem(
@@ -80,7 +84,7 @@
                 table,
                 counters,
                 finisher);
-        this.dispatch = new DispatchSystem(table, counters, ports, limits, finisher);
+        this.dispatch = new DispatchSystem(table, counters, ports, limits, strikes, finisher);
         this.settlement = new SettlementSystem(
                 table, counters, ports.shares(), ports.journals(), claims, finisher, limits.retention());
     }
@@ -90,6 +94,11 @@
         return counters;
     }
 
+    /** Returns the requests that broke targets. */
+    public StrikeTable strikes() {
+        return strikes;
+    }
+
     /** Returns the requests in progress. */
     public int inProgress() {
         return table.size();
@@ -114,6 +123,16 @@
             refuse(reply, Failure.notRun(kind, "no target serves " + spec.serves()));
             return;
         }
+        long refusedMillis = strikes.refusedMillis(spec.fingerprint(), nowMillis);
+        if (refusedMillis > 0) {
+            refuse(
+                    reply,
+                    Failure.notRun(
+                                    ErrorKind.QUARANTINED,
+                                    "the request broke several targets and is refused for a while")
+                            .retryAfter(refusedMillis));
+            return;
+        }
         counters.accepted++;
         Request request = new Request(ports.requestIds().get(), spec, reply, nowMillis + limits.deadlineMillis());
         reply.onClosed(() -> onCallerGone(request));
@@ -170,6 +189,9 @@
             if (request.phase == Request.Phase.AWAIT_OTHER) {
                 claims.poll(request, nowMillis);
             }
+            if (request.phase == Request.Phase.DISPATCH) {
+                table.markReady(request);
+            }
             if (nowMillis >= request.deadlineMillis && request.phase != Request.Phase.BILLING) {
                 expire(request);
             }
--- /dev/null
+++ b/src/main/java/org/radishspan/request/StrikeTable.java
@@ -0,0 +1,121 @@
+package org.radishspan.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Requests that broke targets, by their fingerprint.
+ *
+ * <p>A request that broke two targets is refused by every router for a while, so that a caller who sends it again does
+ * not bring down one target after the other. When a target breaks, every request on it gets a strike, as any may be the
+ * cause. A request with a strike is a suspect: it is sent where no other suspect of this router is, and if that target breaks
+ * as well, the suspect alone is to blame. A whole answer clears it.
+ */
+public final class StrikeTable {
+
+    /** Tells the other routers of a strike or a release. */
+    @FunctionalInterface
+    public interface Notice {
+        /** Sends one; {@code target} is empty for a release. */
+        void send(String fingerprint, String target);
+    }
+
+    /**
+     * A request that is refused.
+     *
+     * @param fingerprint the hash of workspace, path and body
+     * @param targets what it broke
+     * @param untilMillis when it is let in again
+     */
+    public record Quarantined(String fingerprint, List<String> targets, long untilMillis) {}
+
+    private static final int TARGETS_BEFORE_QUARANTINE = 2;
+    private static final long QUARANTINE_MILLIS = 300_000;
+    private static final int MAX_ROWS = 10_000;
+
+    private static final class Row {
+        private final Set<String> targets = new HashSet<>();
+        private long untilMillis;
+    }
+
+    private final Map<String, Row> rows = new LinkedHashMap<>();
+    private final Notice notice;
+
+    StrikeTable(Notice notice) {
+        this.notice = notice;
+    }
+
+    /** Notes that a request broke a target, and tells the other routers. */
+    void strike(String fingerprint, String target, long nowMillis) {
+        add(fingerprint, target, nowMillis);
+        notice.send(fingerprint, target);
+    }
+
+    /** Takes over what another router saw; an empty target releases the request. */
+    public void onNotice(String fingerprint, String target, long nowMillis) {
+        if (target.isEmpty()) {
+            rows.remove(fingerprint);
+            return;
+        }
+        add(fingerprint, target, nowMillis);
+    }
+
+    private void add(String fingerprint, String target, long nowMillis) {
+        Row row = rows.computeIfAbsent(fingerprint, ignored -> new Row());
+        row.targets.add(target);
+        row.untilMillis = nowMillis + QUARANTINE_MILLIS;
+        if (rows.size() > MAX_ROWS) {
+            rows.remove(rows.keySet().iterator().next());
+        }
+    }
+
+    /** Returns whether a request has broken a target and was not answered since. */
+    boolean suspect(String fingerprint) {
+        return rows.containsKey(fingerprint);
+    }
+
+    /** Clears a request that was answered whole. */
+    void clear(String fingerprint) {
+        if (rows.remove(fingerprint) != null) {
+            notice.send(fingerprint, "");
+        }
+    }
+
+    /** Returns how long a request is refused from now on; 0 if it may run. */
+    long refusedMillis(String fingerprint, long nowMillis) {
+        Row row = rows.get(fingerprint);
+        if (row == null) {
+            return 0;
+        }
+        if (nowMillis >= row.untilMillis) {
+            rows.remove(fingerprint);
+            return 0;
+        }
+        return row.targets.size() >= TARGETS_BEFORE_QUARANTINE ? row.untilMillis - nowMillis : 0;
+    }
+
+    /** Lets a request in again, here and at the other routers; returns whether it was known. */
+    public boolean release(String fingerprint) {
+        boolean known = rows.remove(fingerprint) != null;
+        notice.send(fingerprint, "");
+        return known;
+    }
+
+    /** Returns the requests that are refused. */
+    public List<Quarantined> quarantined(long nowMillis) {
+        List<Quarantined> result = new ArrayList<>();
+        for (String fingerprint : List.copyOf(rows.keySet())) {
+            if (refusedMillis(fingerprint, nowMillis) > 0) {
+                Row row = rows.get(fingerprint);
+                if (row != null) {
+                    result.add(new Quarantined(fingerprint, List.copyOf(row.targets), row.untilMillis));
+                }
+            }
+        }
+        return result;
+    }
+}
--- a/src/main/java/org/radishspan/router/OperatorApi.java
+++ b/src/main/java/org/radishspan/router/OperatorApi.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
+import org.radishspan.budget.Accounts;
 import org.radishspan.budget.Ledger;
 import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.ReclaimMode;
@@ -31,6 +32,7 @@
 import org.radishspan.proto.PresetState;
 import org.radishspan.proto.ShareState;
 import org.radishspan.proto.WorkspaceState;
+import org.radishspan.request.StrikeTable;
 import org.radishspan.routing.Target;
 
 /** Answers operators. Every call needs the operator key; changes name their actor and carry an operation id. */
@@ -69,6 +71,7 @@
             case "POST /budgets/topup" -> topUp(call);
             case "POST /budgets/limit" -> setLimit(call);
             case "POST /budgets/release" -> releaseForfeit(call);
+            case "POST /quarantine/release" -> releaseQuarantined(call);
             default -> ErrorAnswer.send(call, Failure.notRun(ErrorKind.NOT_FOUND, "no such operation: " + route));
         }
     }
@@ -294,10 +297,10 @@
         ObjectNode node = Json.object();
         node.put("budget", account.getBudget());
         node.put("limit_tokens", account.getLimitTokens());
-        node.put("billed_tokens", Ledger.billedTokens(account));
-        node.put("balance_tokens", account.getLimitTokens() - Ledger.billedTokens(account));
-        node.put("free_tokens", Ledger.freeTokens(account));
-        node.put("forfeited_tokens", Ledger.forfeitedTokens(account));
+        node.put("billed_tokens", Accounts.billedTokens(account));
+        node.put("balance_tokens", account.getLimitTokens() - Accounts.billedTokens(account));
+        node.put("free_tokens", Accounts.freeTokens(account));
+        node.put("forfeited_tokens", Accounts.forfeitedTokens(account));
         node.put("reclaim", account.getReclaim());
         ArrayNode shares = node.putArray("shares");
         for (ShareState share : account.getSharesList()) {
@@ -305,7 +308,7 @@
             row.put("share", share.getShareId());
             row.put("vm", share.getVm());
             row.put("granted_tokens", share.getGrantedTokens());
-            row.put("billed_tokens", Ledger.spentTokens(share));
+            row.put("billed_tokens", Accounts.spentTokens(share));
             row.put("wanted_tokens", share.getWantedTokens());
             row.put("closed", share.getClosed());
         }
@@ -363,9 +366,31 @@
         addShares(node.putArray("shares"));
         addTargets(node.putArray("targets"));
         addPeers(node.putArray("peers"));
+        addQuarantined(node.putArray("quarantined"));
         return node;
     }
 
+    private void releaseQuarantined(HttpCall call) {
+        ObjectNode body = body(call, "name");
+        if (body == null) {
+            return;
+        }
+        String fingerprint = body.path("name").asText();
+        ObjectNode node = Json.object();
+        node.put("fingerprint", fingerprint);
+        node.put("was_known_here", router.requests().strikes().release(fingerprint));
+        answer(call, node);
+    }
+
+    private void addQuarantined(ArrayNode list) {
+        for (StrikeTable.Quarantined quarantined : router.requests().strikes().quarantined(router.nowMillis())) {
+            ObjectNode row = list.addObject();
+            row.put("fingerprint", quarantined.fingerprint());
+            row.put("broke", String.join(",", quarantined.targets()));
+            row.put("for_millis", quarantined.untilMillis() - router.nowMillis());
+        }
+    }
+
     private void addShares(ArrayNode list) {
         for (Share share : router.shares().table().rows()) {
             ObjectNode row = list.addObject();
@@ -388,7 +413,7 @@
     }
 
     private void addPeers(ArrayNode list) {
-        for (Peer peer : router.peers().rows()) {
+        for (Peer peer : router.peers().table().rows()) {
             ObjectNode row = list.addObject();
             row.put("vm", peer.vm());
             row.put("incarnation", peer.incarnation());
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -92,8 +92,8 @@
         this.recovery = new RecoverySystem(ledgers, journals);
         this.orphanScan = new OrphanScan(
                 ledgers,
-                partition -> peers().combinerOf(partition).isEmpty(),
-                (vm, ended) -> peers().processEnded(vm, ended),
+                partition -> peers().table().combinerOf(partition).isEmpty(),
+                (vm, ended) -> peers().table().processEnded(vm, ended),
                 ended -> recovery().close(ended, nowMillis()),
                 (holder, partition) -> peers().noticeHolder(holder, partition));
         this.heldBills = new HeldBillSystem(incarnation, ledgers);
@@ -111,7 +111,7 @@
                 settings.shares(),
                 peers::announceShortage,
                 peers::handOver,
-                peers::chooseHolders);
+                peers.table()::chooseHolders);
         this.membership = new MembershipSystem(ports.store(), ports.transport(), targets, peers::replace);
         this.requests = new RequestSystem(
                 new RequestSystem.Ports(
@@ -120,7 +120,8 @@
                         targets,
                         TargetChooser.twoChoices(ports.random()),
                         ports.transport(),
-                        this::nextRequestId),
+                        this::nextRequestId,
+                        peers::announceStrike),
                 requestLimits(settings, incarnation));
         this.callReader = new CallReader(
                 new CallReader.Limits(
@@ -154,9 +155,9 @@
 
     /** Divides the fleet's part of the platform's rates: half among all routers, half among those that combine. */
     private void divideRates() {
-        double listed = 1.0 + peers.rows().size();
+        double listed = 1.0 + peers.table().rows().size();
         int partitions = settings.storage().ledgerPartitions();
-        double combined = peers.combinedPartitions(partitions) / (double) partitions;
+        double combined = peers.table().combinedPartitions(partitions) / (double) partitions;
         double part = DIRECT_PART / listed + (1 - DIRECT_PART) * combined;
         objectPorts.reads().setRate(settings.platform().fleetReadsPerSecond() * part);
         objectPorts.writes().setRate(settings.platform().fleetWritesPerSecond() * part);
@@ -316,7 +317,7 @@
 
         @Override
         public String combinerOf(int partition) {
-            return peers.combinerOf(partition);
+            return peers.table().combinerOf(partition);
         }
 
         @Override
@@ -326,7 +327,7 @@
 
         @Override
         public void onUnanswered(String vm) {
-            peers.onUnanswered(vm);
+            peers.table().onUnanswered(vm);
         }
 
         @Override
@@ -364,6 +365,11 @@
             }
         }
 
+        @Override
+        public void onStrike(String fingerprint, String target) {
+            requests.strikes().onNotice(fingerprint, target, nowMillis);
+        }
+
         @Override
         public void onRevision(long revision) {
             if (revision > configuration.inForce().getRevision()) {
@@ -373,7 +379,7 @@
 
         @Override
         public void onProcessGone(String gone) {
-            int rank = peers.recoveryRank(gone);
+            int rank = peers.table().recoveryRank(gone);
             if (rank < RECOVERING_ROUTERS) {
                 recovery.close(gone, nowMillis + rank * RECOVERY_STAGGER_MILLIS);
             }
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -17,6 +17,8 @@
     long nextProbeAtMillis;
     long closedUntilMillis;
     int consecutiveFailures;
+    int suspects;
+    long suspectLostAtMillis = Long.MIN_VALUE / 2;
 
     Target(String name, String host, int port, String failureDomain, Set<String> serves) {
         this.name = name;
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -33,6 +33,7 @@
             Set<String> serves) {}
 
     private static final int FAILURES_BEFORE_CLOSED = 3;
+    private static final long SAME_CRASH_MILLIS = 100;
     private static final long CLOSED_MILLIS = 2_000;
 
     private final Object2ObjectHashMap<String, Target> rows = new Object2ObjectHashMap<>();
@@ -97,6 +98,29 @@
         return false;
     }
 
+    /** Returns those targets that no suspect request of this router is on. */
+    public static List<Target> withoutSuspects(List<Target> candidates) {
+        return candidates.stream().filter(target -> target.suspects == 0).toList();
+    }
+
+    /** Counts a suspect request in. */
+    public void addSuspect(Target target) {
+        target.suspects++;
+    }
+
+    /** Counts a suspect request out. */
+    public void removeSuspect(Target target, boolean targetLost, long nowMillis) {
+        target.suspects--;
+        if (targetLost) {
+            target.suspectLostAtMillis = nowMillis;
+        }
+    }
+
+    /** Returns whether a suspect request was on a target that broke just now. */
+    public boolean suspectInvolved(Target target, long nowMillis) {
+        return target.suspects > 0 || nowMillis - target.suspectLostAtMillis < SAME_CRASH_MILLIS;
+    }
+
     /** Counts a dispatch. */
     public void onDispatched(Target target) {
         target.inFlight++;
--- a/src/main/java/org/radishspan/virtual/VirtualTargets.java
+++ b/src/main/java/org/radishspan/virtual/VirtualTargets.java
@@ -22,15 +22,20 @@
  * came back. A service runs whatever it is sent and keeps a record.
  */
 public final class VirtualTargets {
+    /** A request that contains this crashes the target that it is sent to. */
+    public static final String CRASH_MARKER = "crash-the-engine";
+
     /** The tokens that an engine counts for each prompt. */
     public static final int PROMPT_TOKENS = 3;
 
     private static final long LATENCY_MILLIS = 1;
+    private static final long RESTART_MILLIS = 3_000;
 
     private final VirtualTime time;
     private final UniformRandomProvider random;
     private final long tokenMillis;
     private double strayFrames;
+    private int crashes;
     private final Map<String, Integer> runsByKey = new HashMap<>();
     private final Map<String, Integer> runsByRequest = new HashMap<>();
     private final Map<String, Integer> tokensByRequest = new HashMap<>();
@@ -84,6 +89,17 @@
         }
     }
 
+    private void crashFor(int port) {
+        crashes++;
+        crash(port);
+        time.schedule(RESTART_MILLIS, () -> start(port));
+    }
+
+    /** Returns how often a request crashed a target. */
+    public int crashes() {
+        return crashes;
+    }
+
     /** Starts a crashed target again. */
     public void start(int port) {
         downPorts.remove(port);
@@ -144,6 +160,10 @@
                 return;
             }
             dispatchesByPort.merge(request.port(), 1, Integer::sum);
+            if (new String(request.body(), UTF_8).contains(CRASH_MARKER)) {
+                crashFor(request.port());
+                return;
+            }
             if (request.path().startsWith("/v1/chat/")) {
                 runsByRequest.merge(requestId(), 1, Integer::sum);
                 int tokens = Json.parseObject(request.body())
--- a/src/test/java/org/radishspan/virtual/TestCaller.java
+++ b/src/test/java/org/radishspan/virtual/TestCaller.java
@@ -32,6 +32,13 @@
         return send(node, key, CallReader.CHAT_PATH, json, idempotencyKey);
     }
 
+    /** Sends a chat call that crashes the engine that it reaches. */
+    public static TestCaller crashing(VirtualNode node, String key) {
+        String json = "{\"model\":\"" + VirtualFleet.MODEL + "\",\"messages\":[{\"role\":\"user\",\"content\":\""
+                + VirtualTargets.CRASH_MARKER + "\"}]}";
+        return send(node, key, CallReader.CHAT_PATH, json, null);
+    }
+
     /** Sends a call of the service to a router. */
     public static TestCaller entry(VirtualNode node, String key, String idempotencyKey) {
         return send(node, key, CallReader.SERVICES_PATH + VirtualFleet.SERVICE + "/file", "{}", idempotencyKey);
