Let each budget choose its horizon; log decisions; presets leave nothing behind

Cause: the horizon could only be set for the whole fleet, though the two users weigh differently; a switch from a preset with a share horizon to one without left the old horizon in force; a closed process, a lost share, a refusal, a quarantine and a resumed stream could only be seen in counters. Change: horizon_millis and reclaim per budget, checked at the door; the preset's horizon is taken back with the preset; one JSON line for each such decision (refusals at most one a second). Before: RegressionTest.aPresetLeavesNothingBehind would have seen 5,000 ms stay (the branch had no else).

--- a/src/main/java/org/radishspan/bench/BaselineBudgetRun.java
+++ b/src/main/java/org/radishspan/bench/BaselineBudgetRun.java
@@ -1,6 +1,7 @@
 package org.radishspan.bench;
 
 import java.util.ArrayDeque;
+import java.util.Locale;
 import java.util.PriorityQueue;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -50,7 +51,7 @@
         this.baseline = baseline;
         this.scenario = scenario;
         this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
-        this.result = new BudgetResult(baseline.name().toLowerCase(java.util.Locale.ROOT), scenario.name());
+        this.result = new BudgetResult(baseline.name().toLowerCase(Locale.ROOT), scenario.name());
         this.truth = new BudgetTruth(scenario, result);
         this.available = new long[scenario.routers()][scenario.demand().budgets()];
         this.free = new long[scenario.demand().budgets()];
--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -78,8 +78,20 @@
      */
     public record Operation(String actor, String operationId, long atMillis) {}
 
+    /**
+     * How the owner of a budget wants it treated.
+     *
+     * @param reclaim what becomes of a dead router's rest
+     * @param horizonMillis the demand that a router's share covers; 0 for what the preset or the settings say
+     */
+    public record AccountPolicy(ReclaimMode reclaim, long horizonMillis) {
+        /** The rest comes back once fenced, the horizon is the usual one. */
+        public static final AccountPolicy USUAL = new AccountPolicy(ReclaimMode.FENCED, 0);
+    }
+
     /** Creates an account. */
-    public static Mutation<LedgerBook> create(String budget, long limitTokens, String reclaim, Operation operation) {
+    public static Mutation<LedgerBook> create(
+            String budget, long limitTokens, AccountPolicy policy, Operation operation) {
         return state -> {
             AccountState existing = state.account(budget);
             if (existing != null && existing.getOperationIdsList().contains(operation.operationId())) {
@@ -91,7 +103,8 @@
             AccountState created = AccountState.newBuilder()
                     .setBudget(budget)
                     .setLimitTokens(limitTokens)
-                    .setReclaim(reclaim)
+                    .setReclaim(policy.reclaim().wireName())
+                    .setHorizonMillis(policy.horizonMillis())
                     .addOperationIds(operation.operationId())
                     .build();
             AuditState audit = audit(operation, "budget create " + budget, "", "limit " + limitTokens);
--- a/src/main/java/org/radishspan/budget/LedgerOps.java
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -133,6 +133,7 @@
         if (account != null) {
             Optional<ShareState> share = Ledger.share(outcome.get(), op.getBudget(), shareId(op));
             share.ifPresent(builder::setShare);
+            builder.setHorizonMillis(account.getHorizonMillis());
             builder.setUnspentTokens(Accounts.unspentTokens(account));
             builder.setDemandTokensPerSecond(Accounts.demandTokensPerSecond(account));
             builder.setWantedElsewhere(Accounts.wantedElsewhere(account, shareId(op)));
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -51,6 +51,7 @@
     boolean wantedElsewhere;
     boolean accountSeen;
     long unspentTokens;
+    long horizonMillis;
     long fleetDemandTokensPerSecond;
     long reportedDemandTokensPerSecond;
     long nextNoticeAtMillis;
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
@@ -18,6 +20,7 @@
  * a request has waited long enough.
  */
 public final class ShareSystem {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Tells peers that a share is short of tokens. */
     @FunctionalInterface
@@ -204,6 +207,9 @@
             }
             share.waiters.remove();
             counters.refused++;
+            LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "refused a call for want of tokens of budget %s; %d refused so far",
+                    share.budget, counters.refused);
             waiter.done().accept(Either.left(refusal(share)));
         }
         share.lastFailure = null;
@@ -225,7 +231,8 @@
 
     /** Returns what the share should have available: the demand of the horizon, within its fair part of what is left. */
     private long targetTokens(Share share) {
-        double demand = share.demandTokensPerSecond * policy.horizonMillis() / MILLIS_PER_SECOND;
+        long horizonMillis = share.horizonMillis > 0 ? share.horizonMillis : policy.horizonMillis();
+        double demand = share.demandTokensPerSecond * horizonMillis / MILLIS_PER_SECOND;
         long few = Math.max(policy.minimumGrantTokens(), (long) (CALLS_HELD * share.typicalCallTokens));
         long wanted = (long) demand + few;
         if (!share.accountSeen) {
@@ -349,6 +356,7 @@
 
     static void observe(Share share, LedgerResult result) {
         share.accountSeen = true;
+        share.horizonMillis = result.getHorizonMillis();
         share.unspentTokens = result.getUnspentTokens();
         share.fleetDemandTokensPerSecond = result.getDemandTokensPerSecond();
         share.wantedElsewhere = result.getWantedElsewhere();
@@ -365,6 +373,7 @@
     private void lose(Share share) {
         counters.sharesLost++;
         String lostId = share.shareId;
+        LOGGER.atWarning().log("share %s of budget %s was closed by another router", lostId, share.budget);
         for (Share.PendingBill bill : share.restart(nextShareId())) {
             bill.done().accept(Either.left(shareLost(lostId)));
         }
--- a/src/main/java/org/radishspan/cli/Commands.java
+++ b/src/main/java/org/radishspan/cli/Commands.java
@@ -124,9 +124,13 @@
 
     private static Options budgetOptions() {
         return change().addOption(option(
-                "reclaim",
-                "fenced|operator",
-                "whether the rest of a dead router's share comes back by itself (default fenced)"));
+                        "reclaim",
+                        "fenced|operator",
+                        "with create: whether the rest of a dead router's share comes back by itself (default fenced)"))
+                .addOption(option(
+                        "horizon-millis",
+                        "MILLIS",
+                        "with create: the demand that a router's share covers (default: as the preset says)"));
     }
 
     private static Options presetOptions() {
@@ -275,6 +279,7 @@
         }
         body.put("tokens", tokens(line, 2));
         body.put("reclaim", line.getOptionValue("reclaim", "fenced"));
+        putNumber(line, body, "horizon-millis");
         return client.post(action.equals("create") ? "/budgets" : "/budgets/" + action, body);
     }
 
--- a/src/main/java/org/radishspan/demo/Demo.java
+++ b/src/main/java/org/radishspan/demo/Demo.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -300,10 +302,9 @@
 
     /** Stops routers first, then targets and platform. */
     public void stop() {
-        List<java.util.concurrent.CompletableFuture<Integer>> ends =
+        List<CompletableFuture<Integer>> ends =
                 routers.stream().map(RouterProcess::stop).toList();
-        ends.forEach(end -> end.orTimeout(READY_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS)
-                .join());
+        ends.forEach(end -> end.orTimeout(READY_MILLIS, TimeUnit.MILLISECONDS).join());
         engines.forEach(EngineStandIn::stop);
         service.stop();
         platform.stop();
--- a/src/main/java/org/radishspan/error/ErrorKind.java
+++ b/src/main/java/org/radishspan/error/ErrorKind.java
@@ -1,5 +1,7 @@
 package org.radishspan.error;
 
+import java.util.Locale;
+
 /**
  * The closed list of reasons for which radishspan refuses or fails a call.
  *
@@ -73,6 +75,6 @@
 
     /** Returns the name that stands in answers and logs, for example {@code budget_exhausted}. */
     public String wireName() {
-        return name().toLowerCase(java.util.Locale.ROOT);
+        return name().toLowerCase(Locale.ROOT);
     }
 }
--- a/src/main/java/org/radishspan/error/Failure.java
+++ b/src/main/java/org/radishspan/error/Failure.java
@@ -1,5 +1,6 @@
 package org.radishspan.error;
 
+import java.util.Locale;
 import java.util.Objects;
 
 /**
@@ -27,7 +28,7 @@
 
         /** Returns the name that stands in answers. */
         public String wireName() {
-            return name().toLowerCase(java.util.Locale.ROOT);
+            return name().toLowerCase(Locale.ROOT);
         }
     }
 
--- a/src/main/java/org/radishspan/http/HttpServer.java
+++ b/src/main/java/org/radishspan/http/HttpServer.java
@@ -16,6 +16,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -177,8 +178,7 @@
         }
 
         private void refuse(ChannelHandlerContext context, ErrorKind kind, String message) {
-            HttpCall call = new HttpCall(
-                    context, "GET", "/", new io.netty.handler.codec.http.DefaultHttpHeaders(), new byte[0], () -> {});
+            HttpCall call = new HttpCall(context, "GET", "/", new DefaultHttpHeaders(), new byte[0], () -> {});
             ErrorAnswer.send(call, Failure.notRun(kind, message));
             context.channel().close();
         }
--- a/src/main/java/org/radishspan/recovery/RecoverySystem.java
+++ b/src/main/java/org/radishspan/recovery/RecoverySystem.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
+import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import org.radishspan.budget.Ledger;
 import org.radishspan.budget.Ledger.KeyedBill;
@@ -30,6 +31,7 @@
  * a token.
  */
 public final class RecoverySystem {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private enum Step {
         CLOSE_LEDGERS,
@@ -107,6 +109,7 @@
     }
 
     private void closeLedgers(Recovery recovery) {
+        LOGGER.atInfo().log("closing router process %s, which has ended", recovery.incarnation);
         recovery.outstanding = ledgers.all().size();
         for (int i = 0; i < ledgers.all().size(); i++) {
             int partition = i;
@@ -183,6 +186,7 @@
         recovery.step = next;
         recovery.submitted = false;
         if (next == Step.DONE) {
+            LOGGER.atInfo().log("closed router process %s and counted its bills", recovery.incarnation);
             closedProcesses++;
             recovery.ledgers.clear();
             recovery.journals.clear();
--- a/src/main/java/org/radishspan/request/DispatchSystem.java
+++ b/src/main/java/org/radishspan/request/DispatchSystem.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import com.google.common.flogger.FluentLogger;
 import org.jspecify.annotations.Nullable;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
@@ -19,6 +20,7 @@
  * again only if the target itself refused it; one that may be repeated only if nothing of the answer was relayed.
  */
 final class DispatchSystem {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     /** The header by which a target says that it executed nothing. */
     static final String NOT_RUN_HEADER = "x-not-run";
 
@@ -225,6 +227,8 @@
         }
         request.resumes++;
         counters.resumed++;
+        LOGGER.atInfo().log(
+                "request %s is resumed at %s from event %d", request.requestId, target.name(), answer.nextIndex());
         answer.restartEvents();
         String path = "/v1/requests/" + request.requestId + "/stream?from=" + answer.nextIndex();
         send(request, target, "GET", path, new byte[0]);
--- a/src/main/java/org/radishspan/request/StrikeTable.java
+++ b/src/main/java/org/radishspan/request/StrikeTable.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import com.google.common.flogger.FluentLogger;
+
 /**
  * Requests that broke targets, by their fingerprint.
  *
@@ -16,6 +18,7 @@
  * as well, the suspect alone is to blame. A whole answer clears it.
  */
 public final class StrikeTable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Tells the other routers of a strike or a release. */
     @FunctionalInterface
@@ -68,6 +71,9 @@
         Row row = rows.computeIfAbsent(fingerprint, ignored -> new Row());
         row.targets.add(target);
         row.untilMillis = nowMillis + QUARANTINE_MILLIS;
+        if (row.targets.size() == TARGETS_BEFORE_QUARANTINE) {
+            LOGGER.atWarning().log("request %s broke %s and is refused for a while", fingerprint, row.targets);
+        }
         if (rows.size() > MAX_ROWS) {
             rows.remove(rows.keySet().iterator().next());
         }
--- a/src/main/java/org/radishspan/router/OperatorApi.java
+++ b/src/main/java/org/radishspan/router/OperatorApi.java
@@ -233,8 +233,19 @@
             return;
         }
         String name = body.path("name").asText();
-        String reclaim = body.path("reclaim").asText(ReclaimMode.FENCED.wireName());
-        changeBudget(call, name, Ledger.create(name, body.path("tokens").asLong(), reclaim, operation(body)));
+        Optional<ReclaimMode> reclaim =
+                ReclaimMode.ofWireName(body.path("reclaim").asText(ReclaimMode.FENCED.wireName()));
+        long horizonMillis = body.path("horizon_millis").asLong(0);
+        if (reclaim.isEmpty() || horizonMillis < 0) {
+            ErrorAnswer.send(
+                    call,
+                    Failure.notRun(
+                            ErrorKind.INVALID_REQUEST,
+                            "reclaim must be fenced or operator, horizon_millis not negative"));
+            return;
+        }
+        Ledger.AccountPolicy policy = new Ledger.AccountPolicy(reclaim.get(), horizonMillis);
+        changeBudget(call, name, Ledger.create(name, body.path("tokens").asLong(), policy, operation(body)));
     }
 
     private void topUp(HttpCall call) {
@@ -302,6 +313,7 @@
         node.put("free_tokens", Accounts.freeTokens(account));
         node.put("forfeited_tokens", Accounts.forfeitedTokens(account));
         node.put("reclaim", account.getReclaim());
+        node.put("horizon_millis", account.getHorizonMillis());
         ArrayNode shares = node.putArray("shares");
         for (ShareState share : account.getSharesList()) {
             ObjectNode row = shares.addObject();
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -173,12 +173,10 @@
     }
 
     private void onConfiguration(ConfigurationState state) {
-        Optional<PresetState> preset = configuration.preset();
-        if (preset.isPresent() && preset.get().getShareHorizonMillis() > 0) {
-            SharePolicy policy =
-                    settings.shares().withHorizonMillis(preset.get().getShareHorizonMillis());
-            shares.usePolicy(policy);
-        }
+        PresetState preset = state.getPresetsMap().get(state.getPresetInForce());
+        long horizonMillis = preset == null ? 0 : preset.getShareHorizonMillis();
+        SharePolicy usual = settings.shares();
+        shares.usePolicy(horizonMillis > 0 ? usual.withHorizonMillis(horizonMillis) : usual);
     }
 
     /** Returns the settings. */
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -10,7 +10,6 @@
 import org.jspecify.annotations.Nullable;
 import org.radishspan.budget.Ledger;
 import org.radishspan.budget.LedgerBook;
-import org.radishspan.budget.ReclaimMode;
 import org.radishspan.budget.SharePolicy;
 import org.radishspan.config.CallerKey;
 import org.radishspan.config.Configuration;
@@ -353,12 +352,12 @@
 
     /** Creates a budget in the stored ledger, as an operator would. */
     public void createBudget(String budget, long limitTokens) {
-        createBudget(budget, limitTokens, ReclaimMode.FENCED);
+        createBudget(budget, limitTokens, Ledger.AccountPolicy.USUAL);
     }
 
-    /** Creates a budget whose dead routers' shares are treated in a given way. */
-    public void createBudget(String budget, long limitTokens, ReclaimMode reclaim) {
-        changeLedger(budget, Ledger.create(budget, limitTokens, reclaim.wireName(), operation()));
+    /** Creates a budget that is treated in a given way. */
+    public void createBudget(String budget, long limitTokens, Ledger.AccountPolicy policy) {
+        changeLedger(budget, Ledger.create(budget, limitTokens, policy, operation()));
     }
 
     /** Tops a budget up in the stored ledger, as an operator would. */
@@ -377,7 +376,6 @@
     /** Creates a workspace that pays from a budget, and returns its key. */
     public String createWorkspace(String name, String budget) {
         String key = name + ".key";
-        StoredObject stored = platform.objects().get(Configuration.KEY);
         WorkspaceState workspace = WorkspaceState.newBuilder()
                 .setName(name)
                 .setBudget(budget)
@@ -385,13 +383,22 @@
                 .setKeySalt("salt")
                 .setKeyHash(CallerKey.hash("salt", key))
                 .build();
+        changeConfiguration(Configuration.putWorkspace(workspace, change()));
+        return key;
+    }
+
+    /** Returns who changes the configuration, with a new operation id. */
+    public Configuration.Change change() {
         operationCount++;
-        Configuration.Change change = new Configuration.Change("test", "op-" + operationCount, time.nowMillis(), null);
-        ConfigurationState changed = Configuration.putWorkspace(workspace, change)
-                .apply(Configuration.CODEC.decode().apply(stored.value()))
-                .get();
+        return new Configuration.Change("test", "op-" + operationCount, time.nowMillis(), null);
+    }
+
+    /** Changes the stored configuration, as an operator would. */
+    public void changeConfiguration(SharedObject.Mutation<ConfigurationState> mutation) {
+        StoredObject stored = platform.objects().get(Configuration.KEY);
+        ConfigurationState state = Configuration.CODEC.decode().apply(stored.value());
+        ConfigurationState changed = mutation.apply(state).get();
         platform.objects().put(Configuration.KEY, stored.version(), changed.toByteArray());
-        return key;
     }
 
     /** Returns a budget as the stored ledger has it. */
--- a/src/test/java/org/radishspan/budget/LedgerTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerTest.java
@@ -25,7 +25,7 @@
     }
 
     private static LedgerBook withLimit(long tokens) {
-        return apply(LedgerBook.EMPTY, Ledger.create(BUDGET, tokens, "fenced", operation("op-0")));
+        return apply(LedgerBook.EMPTY, Ledger.create(BUDGET, tokens, Ledger.AccountPolicy.USUAL, operation("op-0")));
     }
 
     private static LedgerBook apply(LedgerBook state, Mutation<LedgerBook> mutation) {
@@ -158,7 +158,9 @@
 
         @Test
         public void keepTheirRestForTheOperatorIfTheAccountSaysSo() {
-            LedgerBook state = apply(LedgerBook.EMPTY, Ledger.create(BUDGET, 100, "operator", operation("op-0")));
+            LedgerBook state = apply(
+                    LedgerBook.EMPTY,
+                    Ledger.create(BUDGET, 100, new Ledger.AccountPolicy(ReclaimMode.OPERATOR, 0), operation("op-0")));
             state = apply(state, grant(SHARE, 1, 80));
             state = apply(state, Ledger.close("p1"));
             state = apply(state, Ledger.sweepJournals(BUDGET, SHARE, List.of()));
--- a/src/test/java/org/radishspan/virtual/RegressionTest.java
+++ b/src/test/java/org/radishspan/virtual/RegressionTest.java
@@ -1,7 +1,10 @@
 package org.radishspan.virtual;
 
+import org.radishspan.budget.SharePolicy;
+import org.radishspan.config.Configuration;
 import org.radishspan.proto.LoadReport;
 import org.radishspan.proto.PeerMessage;
+import org.radishspan.proto.PresetState;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -53,6 +56,25 @@
         assertFalse(fleet.node(1).router().fenced());
     }
 
+    /** The share horizon of a preset stayed in force after a switch to a preset without one. */
+    @Test
+    public void aPresetLeavesNothingBehind() {
+        VirtualFleet fleet = fleet(100_000);
+        PresetState peak = PresetState.newBuilder()
+                .setName("peak")
+                .setShareHorizonMillis(5_000)
+                .build();
+        PresetState ordinary = PresetState.newBuilder().setName("ordinary").build();
+        fleet.changeConfiguration(Configuration.putPreset(peak, fleet.change()));
+        fleet.changeConfiguration(Configuration.putPreset(ordinary, fleet.change()));
+        fleet.changeConfiguration(Configuration.usePreset("peak", fleet.change()));
+        fleet.run(2_000);
+        assertEquals(fleet.node(1).router().shares().policy().horizonMillis(), 5_000);
+        fleet.changeConfiguration(Configuration.usePreset("ordinary", fleet.change()));
+        fleet.run(2_000);
+        assertEquals(fleet.node(1).router().shares().policy(), SharePolicy.DEFAULT);
+    }
+
     /** Shares of budgets that nobody used any more stayed in the ledger for good. */
     @Test
     public void anIdleShareIsRetired() {
--- a/src/test/java/org/radishspan/virtual/TestCaller.java
+++ b/src/test/java/org/radishspan/virtual/TestCaller.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
+import java.util.Optional;
 
 import org.jspecify.annotations.Nullable;
 import org.radishspan.error.Failure;
@@ -49,7 +50,7 @@
         TestCaller caller = new TestCaller();
         node.router()
                 .accept(
-                        java.util.Optional.of(key),
+                        Optional.of(key),
                         new CallReader.Incoming(path, json.getBytes(UTF_8), idempotencyKey, null),
                         caller);
         return caller;
