--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -1,5 +1,6 @@
 package org.radishspan.router;
 
+import java.util.Map;
 import java.util.Optional;
 
 import io.vavr.control.Either;
@@ -14,6 +15,7 @@
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
+import org.radishspan.http.Json;
 import org.radishspan.journal.Journal;
 import org.radishspan.journal.JournalPartitions;
 import org.radishspan.membership.MembershipSystem;
@@ -34,9 +36,12 @@
 import org.radishspan.request.CallSpec;
 import org.radishspan.request.CallerReply;
 import org.radishspan.request.RequestSystem;
+import org.radishspan.request.StatusLookup;
 import org.radishspan.routing.TargetChooser;
 import org.radishspan.routing.TargetTable;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 /**
  * One router without its sockets: tables, and the systems that run over them each tick.
  *
@@ -55,6 +60,7 @@
      */
     public record Ports(PlatformStore store, HttpTransport transport, PeerLink link, UniformRandomProvider random) {}
 
+    private static final int OK = 200;
     private static final double DIRECT_PART = 0.5;
     private static final long DIVIDE_RATES_MILLIS = 1_000;
     private static final long RECOVERY_STAGGER_MILLIS = 5_000;
@@ -76,6 +82,7 @@
     private final OrphanScan orphanScan;
     private final RequestSystem requests;
     private final CallReader callReader;
+    private final StatusLookup statusLookup;
     private long requestCount;
     private long divideRatesAtMillis;
     private long nowMillis;
@@ -88,6 +95,7 @@
         this.objectPorts = objectPorts(settings, ports);
         this.ledgers = new LedgerPartitions(settings.storage().ledgerPartitions(), objectPorts);
         this.journals = new JournalPartitions(settings.storage().journalPartitions(), objectPorts);
+        this.statusLookup = new StatusLookup(journals);
         this.configuration = new ConfigurationSystem(ports.store(), objectPorts);
         this.recovery = new RecoverySystem(ledgers, journals);
         this.orphanScan = new OrphanScan(
@@ -264,6 +272,23 @@
         requests.accept(call.get(), reply);
     }
 
+    /** Tells a caller what became of a request with an idempotency key. */
+    public void findStatus(Optional<String> callerKey, String idempotencyKey, CallerReply reply) {
+        Optional<WorkspaceState> workspace = callerKey.flatMap(configuration::workspaceOf);
+        if (workspace.isEmpty()) {
+            reply.fail(Failure.notRun(ErrorKind.UNAUTHORIZED, "the bearer key is missing or wrong"));
+            return;
+        }
+        statusLookup.find(workspace.get().getName(), idempotencyKey, result -> {
+            if (result.isLeft()) {
+                reply.fail(result.getLeft());
+                return;
+            }
+            byte[] body = result.get().toString().getBytes(UTF_8);
+            reply.respond(OK, Json.CONTENT_TYPE, body, Map.of());
+        });
+    }
+
     /** Takes no new calls; {@link #stopped} turns true when nothing is left. */
     public void drain() {
         draining = true;
--- a/src/main/java/org/radishspan/router/RouterProcess.java
+++ b/src/main/java/org/radishspan/router/RouterProcess.java
@@ -26,6 +26,7 @@
 import org.radishspan.platform.HttpPlatformStore;
 import org.radishspan.proto.PeerMessage;
 import org.radishspan.request.CallReader;
+import org.radishspan.request.StatusLookup;
 import org.radishspan.routing.TargetTable.ListedVm;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
@@ -219,6 +220,11 @@
     }
 
     private void acceptCall(HttpCall call) {
+        if (call.method().equals("GET") && call.path().startsWith(StatusLookup.PATH)) {
+            String idempotencyKey = call.path().substring(StatusLookup.PATH.length());
+            router.findStatus(call.bearerToken(), idempotencyKey, new HttpReply(call));
+            return;
+        }
         if (!call.method().equals("POST")) {
             ErrorAnswer.send(
                     call, Failure.notRun(ErrorKind.NOT_FOUND, "no such call: " + call.method() + " " + call.path()));
--- /dev/null
+++ b/src/test/java/org/radishspan/request/StatusLookupTest.java
@@ -0,0 +1,77 @@
+package org.radishspan.request;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
+import org.radishspan.virtual.TestCaller;
+import org.radishspan.virtual.VirtualFleet;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** What a caller can find out about a request that it sent with a key. */
+public class StatusLookupTest {
+    private static final String WORKSPACE = "workspace";
+
+    private static VirtualFleet fleet() {
+        VirtualFleet fleet = VirtualFleet.builder().routers(3).seed(61).build();
+        fleet.createBudget("crew", 100_000);
+        fleet.createWorkspace(WORKSPACE, "crew");
+        fleet.settleDown();
+        return fleet;
+    }
+
+    private static Either<Failure, ObjectNode> find(VirtualFleet fleet, int node, String workspace) {
+        List<Either<Failure, ObjectNode>> seen = new ArrayList<>();
+        new StatusLookup(fleet.node(node).router().journals()).find(workspace, "entry-1", seen::add);
+        fleet.run(2_000);
+        assertEquals(seen.size(), 1);
+        return seen.get(0);
+    }
+
+    @Test
+    public void anAnswerIsFoundAtAnyRouter() {
+        VirtualFleet fleet = fleet();
+        TestCaller.entry(fleet.node(0), WORKSPACE + ".key", "entry-1");
+        fleet.run(2_000);
+        ObjectNode status = find(fleet, 2, WORKSPACE).get();
+        assertEquals(status.path("phase").asText(), "done");
+        assertEquals(status.path("ran").asText(), "yes");
+        assertTrue(status.path("answer")
+                .asText()
+                .contains(status.path("request_id").asText()));
+    }
+
+    @Test
+    public void aKeyThatWasNeverUsedIsNotFound() {
+        assertEquals(find(fleet(), 0, WORKSPACE).getLeft().kind(), ErrorKind.NOT_FOUND);
+    }
+
+    @Test
+    public void anotherWorkspaceSeesNothing() {
+        VirtualFleet fleet = fleet();
+        TestCaller.entry(fleet.node(0), WORKSPACE + ".key", "entry-1");
+        fleet.run(2_000);
+        assertEquals(find(fleet, 0, "other").getLeft().kind(), ErrorKind.NOT_FOUND);
+    }
+
+    @Test
+    public void aRequestWhoseRouterDiedIsUnknown() {
+        VirtualFleet fleet = fleet();
+        fleet.targets().silence(VirtualFleet.servicePort(0), true);
+        fleet.targets().silence(VirtualFleet.servicePort(1), true);
+        TestCaller.entry(fleet.node(0), WORKSPACE + ".key", "entry-1");
+        fleet.run(1_000);
+        fleet.node(0).crash();
+        fleet.restart(0);
+        fleet.run(30_000);
+        ObjectNode status = find(fleet, 1, WORKSPACE).get();
+        assertEquals(status.path("phase").asText(), "unknown");
+        assertEquals(status.path("ran").asText(), "unknown");
+    }
+}
