--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -12,7 +12,6 @@
 import org.radishspan.platform.SharedObject.Codec;
 import org.radishspan.platform.SharedObject.Mutation;
 import org.radishspan.proto.AccountState;
-import org.radishspan.proto.AuditState;
 import org.radishspan.proto.HolderState;
 import org.radishspan.proto.ShareState;
 
@@ -32,8 +31,6 @@
     /** The number of a share's first request, which creates it. */
     public static final long FIRST_REQUEST = 1;
 
-    private static final int MAX_OPERATION_IDS = 1_000;
-
     private Ledger() {}
 
     /**
@@ -69,85 +66,6 @@
      */
     public record Settlement(String shareId, long settleSeq, long spentTokens, long keyedSeq, long keyedSpentTokens) {}
 
-    /**
-     * Who changes an account, for the audit trail.
-     *
-     * @param actor the operator
-     * @param operationId the same for each repetition of one command
-     * @param atMillis when
-     */
-    public record Operation(String actor, String operationId, long atMillis) {}
-
-    /**
-     * How the owner of a budget wants it treated.
-     *
-     * @param reclaim what becomes of a dead router's rest
-     * @param horizonMillis the demand that a router's share covers; 0 for what the preset or the settings say
-     */
-    public record AccountPolicy(ReclaimMode reclaim, long horizonMillis) {
-        /** The rest comes back once fenced, the horizon is the usual one. */
-        public static final AccountPolicy USUAL = new AccountPolicy(ReclaimMode.FENCED, 0);
-    }
-
-    /** Creates an account. */
-    public static Mutation<LedgerBook> create(
-            String budget, long limitTokens, AccountPolicy policy, Operation operation) {
-        return state -> {
-            AccountState existing = state.account(budget);
-            if (existing != null && existing.getOperationIdsList().contains(operation.operationId())) {
-                return Either.right(state);
-            }
-            if (existing != null) {
-                return Either.left(Failure.notRun(ErrorKind.CONFLICT, "budget " + budget + " exists already"));
-            }
-            AccountState created = AccountState.newBuilder()
-                    .setBudget(budget)
-                    .setLimitTokens(limitTokens)
-                    .setReclaim(policy.reclaim().wireName())
-                    .setHorizonMillis(policy.horizonMillis())
-                    .addOperationIds(operation.operationId())
-                    .build();
-            AuditState audit = audit(operation, "budget create " + budget, "", "limit " + limitTokens);
-            return Either.right(state.with(audit).with(created));
-        };
-    }
-
-    /** Adds tokens to the limit, once per operation id. */
-    public static Mutation<LedgerBook> topUp(String budget, long tokens, Operation operation) {
-        return changeLimit(budget, operation, "budget topup " + budget, limit -> limit + tokens);
-    }
-
-    /** Sets the limit, which may not fall below what is spent or granted. */
-    public static Mutation<LedgerBook> setLimit(String budget, long limitTokens, Operation operation) {
-        return changeLimit(budget, operation, "budget limit " + budget, limit -> limitTokens);
-    }
-
-    private static Mutation<LedgerBook> changeLimit(
-            String budget, Operation operation, String action, UnaryOperator<Long> change) {
-        return onAccount(budget, (state, account) -> {
-            if (account.getOperationIdsList().contains(operation.operationId())) {
-                return Either.right(state);
-            }
-            long limit = change.apply(account.getLimitTokens());
-            long committed = Accounts.committedTokens(account);
-            if (limit < committed) {
-                return Either.left(Failure.notRun(
-                        ErrorKind.CONFLICT,
-                        "limit " + limit + " is below the " + committed + " tokens spent or granted to routers"));
-            }
-            if (account.getOperationIdsCount() >= MAX_OPERATION_IDS) {
-                return Either.left(Failure.notRun(
-                        ErrorKind.OVERLOADED, "budget " + budget + " remembers its most operation ids; compact it"));
-            }
-            AccountState changed = account.toBuilder()
-                    .setLimitTokens(limit)
-                    .addOperationIds(operation.operationId())
-                    .build();
-            AuditState audit = audit(operation, action, "limit " + account.getLimitTokens(), "limit " + limit);
-            return Either.right(state.with(audit).with(changed));
-        });
-    }
-
     /** Grants tokens to a share, as many as the policy allows; refused if less than the asked minimum is free. */
     public static Mutation<LedgerBook> grant(String budget, GrantRequest request, GrantRule rule) {
         return onAccount(budget, (state, account) -> {
@@ -296,27 +214,6 @@
         };
     }
 
-    /** Gives the unspent rest of a closed share back on an operator's word. */
-    public static Mutation<LedgerBook> releaseForfeit(String budget, String shareId, Operation operation) {
-        return state -> {
-            AccountState account = state.account(budget);
-            int index = account == null ? -1 : indexOf(account, shareId);
-            if (account == null || index < 0) {
-                return Either.right(state);
-            }
-            ShareState share = account.getShares(index);
-            if (!share.getClosed()) {
-                return Either.left(Failure.notRun(ErrorKind.CONFLICT, "share " + shareId + " is in use"));
-            }
-            AuditState audit = audit(
-                    operation,
-                    "budget release " + budget,
-                    "share " + shareId + " holds " + (share.getGrantedTokens() - Accounts.spentTokens(share)),
-                    "released");
-            return Either.right(removeShare(state.with(audit), budget, shareId));
-        };
-    }
-
     /** Removes closed shares of which every bill is known and whose account lets their rest be given back. */
     public static LedgerBook finalizeClosed(LedgerBook state) {
         LedgerBook result = state;
@@ -375,7 +272,7 @@
                 .anyMatch(candidate -> candidate.getIncarnation().equals(holder) && !candidate.getReleased());
     }
 
-    private static LedgerBook removeShare(LedgerBook state, String budget, String shareId) {
+    static LedgerBook removeShare(LedgerBook state, String budget, String shareId) {
         AccountState account = state.find(budget).orElseThrow();
         int index = indexOf(account, shareId);
         AccountState changed = account.toBuilder()
@@ -395,7 +292,7 @@
         return state.with(builder.build());
     }
 
-    private static int indexOf(AccountState account, String shareId) {
+    static int indexOf(AccountState account, String shareId) {
         for (int i = 0; i < account.getSharesCount(); i++) {
             if (account.getShares(i).getShareId().equals(shareId)) {
                 return i;
@@ -414,7 +311,7 @@
         Either<Failure, LedgerBook> apply(LedgerBook state, AccountState account, int index);
     }
 
-    private static Mutation<LedgerBook> onAccount(
+    static Mutation<LedgerBook> onAccount(
             String budget, BiFunction<LedgerBook, AccountState, Either<Failure, LedgerBook>> change) {
         return state -> {
             AccountState account = state.account(budget);
@@ -457,15 +354,4 @@
         }
         return builder.build();
     }
-
-    private static AuditState audit(Operation operation, String action, String before, String after) {
-        return AuditState.newBuilder()
-                .setAtMillis(operation.atMillis())
-                .setActor(operation.actor())
-                .setOperationId(operation.operationId())
-                .setAction(action)
-                .setBefore(before)
-                .setAfter(after)
-                .build();
-    }
 }
--- a/src/main/java/org/radishspan/platform/SharedObject.java
+++ b/src/main/java/org/radishspan/platform/SharedObject.java
@@ -23,7 +23,7 @@
  *
  * <pre>{@code
  * SharedObject<LedgerState> ledger = new SharedObject<>("ledger/0", LedgerState::parse, LedgerState::toByteArray, ports);
- * ledger.submit(Ledger.topUp("crew", "op-1", 5_000), result -> result.peek(this::show));
+ * ledger.submit(AccountChanges.topUp("crew", "op-1", 5_000), result -> result.peek(this::show));
  * ledger.tick(nowMillis);
  * }</pre>
  *
--- a/src/main/java/org/radishspan/router/OperatorApi.java
+++ b/src/main/java/org/radishspan/router/OperatorApi.java
@@ -8,15 +8,12 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
-import org.radishspan.budget.Accounts;
-import org.radishspan.budget.Ledger;
+import org.radishspan.budget.AccountChanges;
 import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.ReclaimMode;
-import org.radishspan.budget.Share;
 import org.radishspan.config.CallerKey;
 import org.radishspan.config.Configuration;
 import org.radishspan.error.ErrorKind;
@@ -24,16 +21,11 @@
 import org.radishspan.http.ErrorAnswer;
 import org.radishspan.http.HttpCall;
 import org.radishspan.http.Json;
-import org.radishspan.peer.Peer;
 import org.radishspan.platform.SharedObject;
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.AuditState;
-import org.radishspan.proto.ConfigurationState;
 import org.radishspan.proto.PresetState;
-import org.radishspan.proto.ShareState;
 import org.radishspan.proto.WorkspaceState;
-import org.radishspan.request.StrikeTable;
-import org.radishspan.routing.Target;
 
 /** Answers operators. Every call needs the operator key; changes name their actor and carry an operation id. */
 final class OperatorApi {
@@ -42,10 +34,12 @@
     private static final String DEFAULT_ACTOR = "operator";
 
     private final Router router;
+    private final OperatorViews views;
     private final Supplier<String> secrets;
 
     OperatorApi(Router router, Supplier<String> secrets) {
         this.router = router;
+        this.views = new OperatorViews(router);
         this.secrets = secrets;
     }
 
@@ -60,9 +54,9 @@
         }
         String route = call.method() + " " + call.path();
         switch (route) {
-            case "GET /status" -> answer(call, status());
+            case "GET /status" -> answer(call, views.status());
             case "GET /audit" -> audit(call);
-            case "GET /presets" -> answer(call, presets());
+            case "GET /presets" -> answer(call, views.presets());
             case "POST /presets" -> putPreset(call);
             case "POST /presets/in-force" -> usePreset(call);
             case "POST /workspaces" -> createWorkspace(call);
@@ -115,8 +109,8 @@
         return false;
     }
 
-    private Ledger.Operation operation(ObjectNode body) {
-        return new Ledger.Operation(
+    private AccountChanges.Operation operation(ObjectNode body) {
+        return new AccountChanges.Operation(
                 body.path("actor").asText(DEFAULT_ACTOR),
                 body.path("operation_id").asText(),
                 router.nowMillis());
@@ -161,7 +155,7 @@
                 budget,
                 () -> router.configuration()
                         .submit(Configuration.putWorkspace(workspace, change(body)), answering(call, state -> {
-                            ObjectNode node = revision(state);
+                            ObjectNode node = OperatorViews.revision(state);
                             node.put("workspace", name);
                             node.put("key", key);
                             return node;
@@ -191,7 +185,7 @@
                 .setShareHorizonMillis(body.path("share_horizon_millis").asLong(0))
                 .build();
         router.configuration()
-                .submit(Configuration.putPreset(preset, change(body)), answering(call, OperatorApi::revision));
+                .submit(Configuration.putPreset(preset, change(body)), answering(call, OperatorViews::revision));
     }
 
     private void usePreset(HttpCall call) {
@@ -202,29 +196,7 @@
         router.configuration()
                 .submit(
                         Configuration.usePreset(body.path("name").asText(), change(body)),
-                        answering(call, OperatorApi::revision));
-    }
-
-    private static ObjectNode revision(ConfigurationState state) {
-        ObjectNode node = Json.object();
-        node.put("revision", state.getRevision());
-        node.put("preset_in_force", state.getPresetInForce());
-        return node;
-    }
-
-    private ObjectNode presets() {
-        ConfigurationState state = router.configuration().inForce();
-        ObjectNode node = revision(state);
-        ArrayNode list = node.putArray("presets");
-        for (PresetState preset : state.getPresetsMap().values()) {
-            ObjectNode row = list.addObject();
-            row.put("name", preset.getName());
-            row.put("urgent_headroom", preset.getUrgentHeadroom());
-            row.put("batch_queue_limit", preset.getBatchQueueLimit());
-            row.put("batch_max_wait_millis", preset.getBatchMaxWaitMillis());
-            row.put("share_horizon_millis", preset.getShareHorizonMillis());
-        }
-        return node;
+                        answering(call, OperatorViews::revision));
     }
 
     private void createBudget(HttpCall call) {
@@ -244,8 +216,8 @@
                             "reclaim must be fenced or operator, horizon_millis not negative"));
             return;
         }
-        Ledger.AccountPolicy policy = new Ledger.AccountPolicy(reclaim.get(), horizonMillis);
-        changeBudget(call, name, Ledger.create(name, body.path("tokens").asLong(), policy, operation(body)));
+        AccountChanges.AccountPolicy policy = new AccountChanges.AccountPolicy(reclaim.get(), horizonMillis);
+        changeBudget(call, name, AccountChanges.create(name, body.path("tokens").asLong(), policy, operation(body)));
     }
 
     private void topUp(HttpCall call) {
@@ -254,7 +226,7 @@
             return;
         }
         String name = body.path("name").asText();
-        changeBudget(call, name, Ledger.topUp(name, body.path("tokens").asLong(), operation(body)));
+        changeBudget(call, name, AccountChanges.topUp(name, body.path("tokens").asLong(), operation(body)));
     }
 
     private void setLimit(HttpCall call) {
@@ -263,7 +235,8 @@
             return;
         }
         String name = body.path("name").asText();
-        changeBudget(call, name, Ledger.setLimit(name, body.path("tokens").asLong(), operation(body)));
+        changeBudget(
+                call, name, AccountChanges.setLimit(name, body.path("tokens").asLong(), operation(body)));
     }
 
     private void releaseForfeit(HttpCall call) {
@@ -272,7 +245,10 @@
             return;
         }
         String name = body.path("name").asText();
-        changeBudget(call, name, Ledger.releaseForfeit(name, body.path("share").asText(), operation(body)));
+        changeBudget(
+                call,
+                name,
+                AccountChanges.releaseForfeit(name, body.path("share").asText(), operation(body)));
     }
 
     private void changeBudget(HttpCall call, String budget, SharedObject.Mutation<LedgerBook> mutation) {
@@ -280,12 +256,14 @@
                 .of(budget)
                 .submit(
                         mutation,
-                        answering(call, state -> budgetJson(state.find(budget).orElseThrow())));
+                        answering(
+                                call,
+                                state -> OperatorViews.budget(state.find(budget).orElseThrow())));
     }
 
     private void showBudget(HttpCall call) {
         String budget = call.query("name").orElse("");
-        readBudget(budget, answering(call, OperatorApi::budgetJson));
+        readBudget(budget, answering(call, OperatorViews::budget));
     }
 
     private void readBudget(String budget, Consumer<Either<Failure, AccountState>> done) {
@@ -304,29 +282,6 @@
         return Either.right(account);
     }
 
-    private static ObjectNode budgetJson(AccountState account) {
-        ObjectNode node = Json.object();
-        node.put("budget", account.getBudget());
-        node.put("limit_tokens", account.getLimitTokens());
-        node.put("billed_tokens", Accounts.billedTokens(account));
-        node.put("balance_tokens", account.getLimitTokens() - Accounts.billedTokens(account));
-        node.put("free_tokens", Accounts.freeTokens(account));
-        node.put("forfeited_tokens", Accounts.forfeitedTokens(account));
-        node.put("reclaim", account.getReclaim());
-        node.put("horizon_millis", account.getHorizonMillis());
-        ArrayNode shares = node.putArray("shares");
-        for (ShareState share : account.getSharesList()) {
-            ObjectNode row = shares.addObject();
-            row.put("share", share.getShareId());
-            row.put("vm", share.getVm());
-            row.put("granted_tokens", share.getGrantedTokens());
-            row.put("billed_tokens", Accounts.spentTokens(share));
-            row.put("wanted_tokens", share.getWantedTokens());
-            row.put("closed", share.getClosed());
-        }
-        return node;
-    }
-
     private void audit(HttpCall call) {
         List<AuditState> entries =
                 new ArrayList<>(router.configuration().inForce().getAuditList());
@@ -364,24 +319,6 @@
         call.respond(OK, "application/x-ndjson", lines.toString());
     }
 
-    private ObjectNode status() {
-        ObjectNode node = revision(router.configuration().inForce());
-        node.put("vm", router.settings().vm());
-        node.put("incarnation", router.incarnation());
-        node.put("failure_domain", router.settings().failureDomain());
-        node.put("ready", router.ready());
-        node.put(
-                "revision_confirmed_millis_ago",
-                router.nowMillis() - router.configuration().confirmedAtMillis());
-        node.put("requests_in_progress", router.requests().inProgress());
-        node.put("held_shares", router.heldBills().heldShares());
-        addShares(node.putArray("shares"));
-        addTargets(node.putArray("targets"));
-        addPeers(node.putArray("peers"));
-        addQuarantined(node.putArray("quarantined"));
-        return node;
-    }
-
     private void releaseQuarantined(HttpCall call) {
         ObjectNode body = body(call, "name");
         if (body == null) {
@@ -393,44 +330,4 @@
         node.put("was_known_here", router.requests().strikes().release(fingerprint));
         answer(call, node);
     }
-
-    private void addQuarantined(ArrayNode list) {
-        for (StrikeTable.Quarantined quarantined : router.requests().strikes().quarantined(router.nowMillis())) {
-            ObjectNode row = list.addObject();
-            row.put("fingerprint", quarantined.fingerprint());
-            row.put("broke", String.join(",", quarantined.targets()));
-            row.put("for_millis", quarantined.untilMillis() - router.nowMillis());
-        }
-    }
-
-    private void addShares(ArrayNode list) {
-        for (Share share : router.shares().table().rows()) {
-            ObjectNode row = list.addObject();
-            row.put("budget", share.budget());
-            row.put("granted_tokens", share.grantedTokens());
-            row.put("billed_tokens", share.billedTokens());
-            row.put("reserved_tokens", share.reservedTokens());
-        }
-    }
-
-    private void addTargets(ArrayNode list) {
-        for (Target target : router.targets().rows()) {
-            ObjectNode row = list.addObject();
-            row.put("name", target.name());
-            row.put("failure_domain", target.failureDomain());
-            row.put("expected_load", target.expectedLoad());
-            row.put("in_flight", target.inFlight());
-            row.put("leaving", target.leaving());
-        }
-    }
-
-    private void addPeers(ArrayNode list) {
-        for (Peer peer : router.peers().table().rows()) {
-            ObjectNode row = list.addObject();
-            row.put("vm", peer.vm());
-            row.put("incarnation", peer.incarnation());
-            row.put("revision", peer.configRevision());
-            row.put("last_heard_millis_ago", router.nowMillis() - peer.lastHeardMillis());
-        }
-    }
 }
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
+import org.radishspan.budget.AccountChanges;
 import org.radishspan.budget.Ledger;
 import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.SharePolicy;
@@ -345,24 +346,24 @@
         publishList();
     }
 
-    private Ledger.Operation operation() {
+    private AccountChanges.Operation operation() {
         operationCount++;
-        return new Ledger.Operation("test", "op-" + operationCount, time.nowMillis());
+        return new AccountChanges.Operation("test", "op-" + operationCount, time.nowMillis());
     }
 
     /** Creates a budget in the stored ledger, as an operator would. */
     public void createBudget(String budget, long limitTokens) {
-        createBudget(budget, limitTokens, Ledger.AccountPolicy.USUAL);
+        createBudget(budget, limitTokens, AccountChanges.AccountPolicy.USUAL);
     }
 
     /** Creates a budget that is treated in a given way. */
-    public void createBudget(String budget, long limitTokens, Ledger.AccountPolicy policy) {
-        changeLedger(budget, Ledger.create(budget, limitTokens, policy, operation()));
+    public void createBudget(String budget, long limitTokens, AccountChanges.AccountPolicy policy) {
+        changeLedger(budget, AccountChanges.create(budget, limitTokens, policy, operation()));
     }
 
     /** Tops a budget up in the stored ledger, as an operator would. */
     public void topUp(String budget, long tokens) {
-        changeLedger(budget, Ledger.topUp(budget, tokens, operation()));
+        changeLedger(budget, AccountChanges.topUp(budget, tokens, operation()));
     }
 
     private void changeLedger(String budget, SharedObject.Mutation<LedgerBook> mutation) {
--- a/src/test/java/org/radishspan/budget/LedgerTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerTest.java
@@ -20,12 +20,14 @@
     private static final String SHARE = "p1.1";
     private static final String OTHER_SHARE = "p2.1";
 
-    private static Ledger.Operation operation(String id) {
-        return new Ledger.Operation("someone", id, 1);
+    private static AccountChanges.Operation operation(String id) {
+        return new AccountChanges.Operation("someone", id, 1);
     }
 
     private static LedgerBook withLimit(long tokens) {
-        return apply(LedgerBook.EMPTY, Ledger.create(BUDGET, tokens, Ledger.AccountPolicy.USUAL, operation("op-0")));
+        return apply(
+                LedgerBook.EMPTY,
+                AccountChanges.create(BUDGET, tokens, AccountChanges.AccountPolicy.USUAL, operation("op-0")));
     }
 
     private static LedgerBook apply(LedgerBook state, Mutation<LedgerBook> mutation) {
@@ -59,23 +61,23 @@
     public static class Limit {
         @Test
         public void isToppedUpOncePerOperation() {
-            LedgerBook state = apply(withLimit(100), Ledger.topUp(BUDGET, 50, operation("op-1")));
+            LedgerBook state = apply(withLimit(100), AccountChanges.topUp(BUDGET, 50, operation("op-1")));
             assertEquals(account(state).getLimitTokens(), 150);
         }
 
         @Test
         public void staysAboveWhatIsOut() {
             LedgerBook state = apply(withLimit(100), grant(SHARE, 1, 80));
-            assertEquals(refusal(state, Ledger.setLimit(BUDGET, 79, operation("op-1"))), ErrorKind.CONFLICT);
+            assertEquals(refusal(state, AccountChanges.setLimit(BUDGET, 79, operation("op-1"))), ErrorKind.CONFLICT);
             assertEquals(
-                    account(apply(state, Ledger.setLimit(BUDGET, 80, operation("op-2"))))
+                    account(apply(state, AccountChanges.setLimit(BUDGET, 80, operation("op-2"))))
                             .getLimitTokens(),
                     80);
         }
 
         @Test
         public void leavesAnAuditEntryWithEachChange() {
-            LedgerBook state = apply(withLimit(100), Ledger.topUp(BUDGET, 50, operation("op-1")));
+            LedgerBook state = apply(withLimit(100), AccountChanges.topUp(BUDGET, 50, operation("op-1")));
             List<String> changes = new ArrayList<>();
             state.audit().forEach(entry -> changes.add(entry.getBefore() + " > " + entry.getAfter()));
             assertEquals(changes, List.of(" > limit 100", "limit 100 > limit 150"));
@@ -160,12 +162,13 @@
         public void keepTheirRestForTheOperatorIfTheAccountSaysSo() {
             LedgerBook state = apply(
                     LedgerBook.EMPTY,
-                    Ledger.create(BUDGET, 100, new Ledger.AccountPolicy(ReclaimMode.OPERATOR, 0), operation("op-0")));
+                    AccountChanges.create(
+                            BUDGET, 100, new AccountChanges.AccountPolicy(ReclaimMode.OPERATOR, 0), operation("op-0")));
             state = apply(state, grant(SHARE, 1, 80));
             state = apply(state, Ledger.close("p1"));
             state = apply(state, Ledger.sweepJournals(BUDGET, SHARE, List.of()));
             assertEquals(Accounts.forfeitedTokens(account(state)), 80);
-            state = apply(state, Ledger.releaseForfeit(BUDGET, SHARE, operation("op-1")));
+            state = apply(state, AccountChanges.releaseForfeit(BUDGET, SHARE, operation("op-1")));
             assertEquals(Accounts.freeTokens(account(state)), 100);
         }
     }
