Use one piece of code where the change had written a second

Change: Router.authorize, ClaimSystem.journalKey, StrikeTable.refusal, PeerSystem.sendToAll, preset() called again; the dead counters of LedgerGateway and FleetBudgetRun.seconds are gone. Behaviour stays; no test was touched. Left: ShareSystem.tick copies its rows each tick; the copy guards against rows that come and go under the loop, which callers could do only if a waiter's answer reserved from another budget at once.

--- a/src/main/java/org/radishspan/bench/FleetBudgetRun.java
+++ b/src/main/java/org/radishspan/bench/FleetBudgetRun.java
@@ -18,14 +18,12 @@
     private static final long RESTART_MILLIS = 5_000;
     private static final long CLOSING_MILLIS = 60_000;
     private static final long TICK_MILLIS = 20;
-    private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final BudgetScenario scenario;
     private final VirtualFleet fleet;
     private final UniformRandomProvider random;
     private final BudgetResult result;
     private final BudgetTruth truth;
-    private long startMillis;
     private boolean calling = true;
     private boolean crashed;
 
@@ -51,7 +49,6 @@
             fleet.createBudget(Demand.name(budget), scenario.limitTokens(budget));
         }
         fleet.settleDown();
-        startMillis = fleet.time().nowMillis();
         long reads = fleet.platform().objects().reads();
         long writes = fleet.platform().objects().writes();
         long conflicts = fleet.platform().objects().conflicts();
@@ -149,9 +146,4 @@
         double routerTokensPerSecond = scenario.demand().callsPerSecond() * Demand.MEAN_TOKENS / scenario.routers();
         result.forfeitedSeconds = forfeited / routerTokensPerSecond;
     }
-
-    /** Returns the virtual time that the run took. */
-    double seconds() {
-        return (fleet.time().nowMillis() - startMillis) / MILLIS_PER_SECOND;
-    }
 }
--- a/src/main/java/org/radishspan/budget/LedgerGateway.java
+++ b/src/main/java/org/radishspan/budget/LedgerGateway.java
@@ -46,9 +46,6 @@
     private final Map<Integer, List<Queued>> outbox = new LinkedHashMap<>();
     private final Map<Long, SentCall> sentCalls = new LinkedHashMap<>();
     private long callCount;
-    private long remoteOps;
-    private long localOps;
-    private long takenBack;
 
     /** Creates a gateway to ledgers. */
     public LedgerGateway(LedgerPartitions ledgers, Combiners combiners) {
@@ -61,21 +58,6 @@
         return ledgers.partitionOf(budget);
     }
 
-    /** Returns the changes sent to other routers. */
-    public long remoteOps() {
-        return remoteOps;
-    }
-
-    /** Returns the changes that this router committed itself. */
-    public long localOps() {
-        return localOps;
-    }
-
-    /** Returns the changes that came back unanswered and were committed here. */
-    public long takenBack() {
-        return takenBack;
-    }
-
     /** Queues a change; the consumer is called once, when the change is committed or refused. */
     void submit(int partition, LedgerOp op, Consumer<LedgerResult> done) {
         outbox.computeIfAbsent(partition, ignored -> new ArrayList<>()).add(new Queued(op, done));
@@ -96,7 +78,6 @@
     }
 
     private void commitHere(int partition, List<Queued> ops) {
-        localOps += ops.size();
         for (Queued queued : ops) {
             ledgers.get(partition)
                     .submit(
@@ -107,7 +88,6 @@
 
     private void send(String vm, int partition, List<Queued> ops, long nowMillis) {
         callCount++;
-        remoteOps += ops.size();
         sentCalls.put(callCount, new SentCall(vm, partition, ops, nowMillis + ANSWER_MILLIS));
         LedgerCall.Builder call = LedgerCall.newBuilder().setCallId(callCount).setPartition(partition);
         ops.forEach(queued -> call.addOps(queued.op()));
@@ -124,7 +104,6 @@
             return due;
         });
         for (SentCall call : late) {
-            takenBack += call.ops().size();
             combiners.onUnanswered(call.vm());
             commitHere(call.partition(), call.ops());
         }
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -272,9 +272,7 @@
         PeerMessage message = PeerMessage.newBuilder()
                 .setStrike(Strike.newBuilder().setFingerprint(fingerprint).setTarget(target))
                 .build();
-        for (Peer peer : table.rows()) {
-            send(peer, message);
-        }
+        sendToAll(message);
     }
 
     /** Tells every peer that a share of a budget is short of tokens. */
@@ -285,6 +283,10 @@
                         .setShareId(shareId)
                         .setTokens(tokens))
                 .build();
+        sendToAll(message);
+    }
+
+    private void sendToAll(PeerMessage message) {
         for (Peer peer : table.rows()) {
             send(peer, message);
         }
--- a/src/main/java/org/radishspan/request/ClaimSystem.java
+++ b/src/main/java/org/radishspan/request/ClaimSystem.java
@@ -45,8 +45,12 @@
         this.finisher = finisher;
     }
 
-    static String journalKey(CallSpec spec) {
-        return spec.workspace() + "/" + spec.idempotencyKey();
+    private static String journalKey(CallSpec spec) {
+        return journalKey(spec.workspace(), String.valueOf(spec.idempotencyKey()));
+    }
+
+    static String journalKey(String workspace, String idempotencyKey) {
+        return workspace + "/" + idempotencyKey;
     }
 
     void claim(Request request, long nowMillis) {
--- a/src/main/java/org/radishspan/request/DispatchSystem.java
+++ b/src/main/java/org/radishspan/request/DispatchSystem.java
@@ -55,9 +55,10 @@
 
     void dispatch(Request request, long tickMillis) {
         nowMillis = tickMillis;
-        long refusedMillis = strikes.refusedMillis(request.spec.fingerprint(), tickMillis);
-        if (refusedMillis > 0) {
-            finisher.fail(request, quarantined(request, refusedMillis));
+        Failure.Ran ran = request.dispatched ? Failure.Ran.UNKNOWN : Failure.Ran.NO;
+        Optional<Failure> refusal = strikes.refusal(request.spec.fingerprint(), ran, tickMillis);
+        if (refusal.isPresent()) {
+            finisher.fail(request, refusal.get());
             return;
         }
         List<Target> candidates = targets.candidates(request.spec.serves(), request.excludedTargets, tickMillis);
@@ -82,12 +83,6 @@
         send(request, chosen.get(), "POST", request.spec.path(), request.spec.body());
     }
 
-    private static Failure quarantined(Request request, long refusedMillis) {
-        String message = "the request broke several targets and is refused for a while";
-        Failure.Ran ran = request.dispatched ? Failure.Ran.UNKNOWN : Failure.Ran.NO;
-        return new Failure(ErrorKind.QUARANTINED, message, ran, refusedMillis);
-    }
-
     private static Failure noTarget(Request request) {
         Failure failure = request.dispatched
                 ? Failure.unknown(ErrorKind.TARGET_FAILED, "every target of " + request.spec.serves() + " failed")
--- a/src/main/java/org/radishspan/request/RequestSystem.java
+++ b/src/main/java/org/radishspan/request/RequestSystem.java
@@ -1,5 +1,6 @@
 package org.radishspan.request;
 
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import org.radishspan.budget.Reservation;
@@ -123,14 +124,9 @@
             refuse(reply, Failure.notRun(kind, "no target serves " + spec.serves()));
             return;
         }
-        long refusedMillis = strikes.refusedMillis(spec.fingerprint(), nowMillis);
-        if (refusedMillis > 0) {
-            refuse(
-                    reply,
-                    Failure.notRun(
-                                    ErrorKind.QUARANTINED,
-                                    "the request broke several targets and is refused for a while")
-                            .retryAfter(refusedMillis));
+        Optional<Failure> refusal = strikes.refusal(spec.fingerprint(), Failure.Ran.NO, nowMillis);
+        if (refusal.isPresent()) {
+            refuse(reply, refusal.get());
             return;
         }
         counters.accepted++;
--- a/src/main/java/org/radishspan/request/StatusLookup.java
+++ b/src/main/java/org/radishspan/request/StatusLookup.java
@@ -29,7 +29,7 @@
      * router holds a claim for the key.
      */
     public void find(String workspace, String idempotencyKey, Consumer<Either<Failure, ObjectNode>> done) {
-        String key = workspace + "/" + idempotencyKey;
+        String key = ClaimSystem.journalKey(workspace, idempotencyKey);
         // A mutation without effect is finished on a state read after it was submitted.
         journals.of(key).submit(Either::right, result -> done.accept(result.flatMap(state -> describe(state, key))));
     }
--- a/src/main/java/org/radishspan/request/StrikeTable.java
+++ b/src/main/java/org/radishspan/request/StrikeTable.java
@@ -5,9 +5,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
+import org.radishspan.error.ErrorKind;
+import org.radishspan.error.Failure;
 
 /**
  * Requests that broke targets, by their fingerprint.
@@ -91,8 +94,7 @@
         }
     }
 
-    /** Returns how long a request is refused from now on; 0 if it may run. */
-    long refusedMillis(String fingerprint, long nowMillis) {
+    private long refusedMillis(String fingerprint, long nowMillis) {
         Row row = rows.get(fingerprint);
         if (row == null) {
             return 0;
@@ -104,6 +106,16 @@
         return row.targets.size() >= TARGETS_BEFORE_QUARANTINE ? row.untilMillis - nowMillis : 0;
     }
 
+    /** Returns the refusal of a request in quarantine; empty if it may run. */
+    Optional<Failure> refusal(String fingerprint, Failure.Ran ran, long nowMillis) {
+        long millis = refusedMillis(fingerprint, nowMillis);
+        if (millis == 0) {
+            return Optional.empty();
+        }
+        String message = "the request broke several targets and is refused for a while";
+        return Optional.of(new Failure(ErrorKind.QUARANTINED, message, ran, millis));
+    }
+
     /** Lets a request in again, here and at the other routers; returns whether it was known. */
     public boolean release(String fingerprint) {
         boolean known = rows.remove(fingerprint) != null;
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -181,8 +181,8 @@
     }
 
     private void onConfiguration(ConfigurationState state) {
-        PresetState preset = state.getPresetsMap().get(state.getPresetInForce());
-        long horizonMillis = preset == null ? 0 : preset.getShareHorizonMillis();
+        long horizonMillis =
+                configuration.preset().map(PresetState::getShareHorizonMillis).orElse(0L);
         SharePolicy usual = settings.shares();
         shares.usePolicy(horizonMillis > 0 ? usual.withHorizonMillis(horizonMillis) : usual);
     }
@@ -259,9 +259,8 @@
 
     /** Takes a call with the key that the caller showed. */
     public void accept(Optional<String> callerKey, CallReader.Incoming incoming, CallerReply reply) {
-        Optional<WorkspaceState> workspace = callerKey.flatMap(configuration::workspaceOf);
+        Optional<WorkspaceState> workspace = authorize(callerKey, reply);
         if (workspace.isEmpty()) {
-            reply.fail(Failure.notRun(ErrorKind.UNAUTHORIZED, "the bearer key is missing or wrong"));
             return;
         }
         Either<Failure, CallSpec> call = callReader.read(workspace.get(), incoming);
@@ -272,11 +271,19 @@
         requests.accept(call.get(), reply);
     }
 
-    /** Tells a caller what became of a request with an idempotency key. */
-    public void findStatus(Optional<String> callerKey, String idempotencyKey, CallerReply reply) {
+    /** Returns the workspace of a key, or answers that the key is missing or wrong. */
+    private Optional<WorkspaceState> authorize(Optional<String> callerKey, CallerReply reply) {
         Optional<WorkspaceState> workspace = callerKey.flatMap(configuration::workspaceOf);
         if (workspace.isEmpty()) {
             reply.fail(Failure.notRun(ErrorKind.UNAUTHORIZED, "the bearer key is missing or wrong"));
+        }
+        return workspace;
+    }
+
+    /** Tells a caller what became of a request with an idempotency key. */
+    public void findStatus(Optional<String> callerKey, String idempotencyKey, CallerReply reply) {
+        Optional<WorkspaceState> workspace = authorize(callerKey, reply);
+        if (workspace.isEmpty()) {
             return;
         }
         statusLookup.find(workspace.get().getName(), idempotencyKey, result -> {
