Share budgets through peers: combined ledger writes, shares sized for small budgets

Ruled out: moving tokens from peer to peer without the ledger (a bill would have to travel with each move). Change: routers list themselves in the store, peers combine ledger writes (gap 100 ms) and give back on a notice of shortage; demand drawn halfway to the mean of all routers; a share holds two usual calls; calls wait 100 ms only while the ledger is silent. SharePolicy.Tuning holds the finer knobs; the product's own policy keeps its values.

--- a/src/main/java/org/radishspan/budget/BillFlow.java
+++ b/src/main/java/org/radishspan/budget/BillFlow.java
@@ -15,6 +15,7 @@
     private final ShareCounters counters;
     private final Consumer<Share> onLost;
     private long handoverAfterMillis;
+    private long settleMillis;
     private long nowMillis;
 
     BillFlow(LedgerGateway ledgers, ShareSystem.BillHandover handover, ShareCounters counters, Consumer<Share> onLost) {
@@ -24,15 +25,18 @@
         this.onLost = onLost;
     }
 
-    void startTick(long tickMillis, SharePolicy policy) {
+    void startTick(long tickMillis, SharePolicy policy, SharePolicy.Tuning tuning) {
         nowMillis = tickMillis;
         handoverAfterMillis = policy.handoverAfterMillis();
+        settleMillis = tuning.settleMillis();
     }
 
     void settle(Share share) {
-        if (share.settleInFlight || share.committedSettleSeq == share.settleSeq) {
+        boolean due = nowMillis >= share.nextSettleAtMillis || share.urgentSettle;
+        if (share.settleInFlight || share.committedSettleSeq == share.settleSeq || !due) {
             return;
         }
+        share.nextSettleAtMillis = nowMillis + settleMillis;
         share.settleInFlight = true;
         share.settleSubmittedAtMillis = nowMillis;
         Ledger.Settlement settlement = share.settlement();
--- a/src/main/java/org/radishspan/budget/LedgerGateway.java
+++ b/src/main/java/org/radishspan/budget/LedgerGateway.java
@@ -35,7 +35,8 @@
         void reply(String vm, LedgerAnswer answer);
     }
 
-    private static final long ANSWER_MILLIS = 1_000;
+    /** How long another router usually has for an answer. */
+    public static final long USUAL_ANSWER_MILLIS = 1_000;
 
     private record Queued(LedgerOp op, Consumer<LedgerResult> done) {}
 
@@ -43,14 +44,25 @@
 
     private final LedgerPartitions ledgers;
     private final Combiners combiners;
+    private final long answerMillis;
     private final Map<Integer, List<Queued>> outbox = new LinkedHashMap<>();
     private final Map<Long, SentCall> sentCalls = new LinkedHashMap<>();
     private long callCount;
 
     /** Creates a gateway to ledgers. */
     public LedgerGateway(LedgerPartitions ledgers, Combiners combiners) {
+        this(ledgers, combiners, USUAL_ANSWER_MILLIS);
+    }
+
+    /**
+     * Creates a gateway to ledgers.
+     *
+     * @param answerMillis changes that another router has not answered for so long are committed here
+     */
+    public LedgerGateway(LedgerPartitions ledgers, Combiners combiners, long answerMillis) {
         this.ledgers = ledgers;
         this.combiners = combiners;
+        this.answerMillis = answerMillis;
     }
 
     /** Returns the number of the ledger that holds a budget. */
@@ -88,7 +100,7 @@
 
     private void send(String vm, int partition, List<Queued> ops, long nowMillis) {
         callCount++;
-        sentCalls.put(callCount, new SentCall(vm, partition, ops, nowMillis + ANSWER_MILLIS));
+        sentCalls.put(callCount, new SentCall(vm, partition, ops, nowMillis + answerMillis));
         LedgerCall.Builder call = LedgerCall.newBuilder().setCallId(callCount).setPartition(partition);
         ops.forEach(queued -> call.addOps(queued.op()));
         combiners.send(vm, call.build());
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -44,6 +44,8 @@
     long usedAtMillis;
     long nextRequestAtMillis;
     long nextHandoverAtMillis;
+    long nextSettleAtMillis;
+    boolean urgentSettle;
     double demandTokensPerSecond;
     long demandSeconds;
     double typicalCallTokens;
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -11,9 +11,6 @@
  * @param retryMillis the time between two requests to the ledger for one share
  * @param handoverAfterMillis a bill that the ledger has not taken for so long is handed to a holder
  * @param holderCount how many routers may hold unposted bills of a share
- * @param demandSmoothing the weight of the last second in the measured demand
- * @param startFraction the part of the unspent tokens that all routers together hold before demand is measured
- * @param idleMillis a share without calls for so long is given back whole
  */
 public record SharePolicy(
         long horizonMillis,
@@ -23,41 +20,37 @@
         long waitMillis,
         long retryMillis,
         long handoverAfterMillis,
-        int holderCount,
-        double demandSmoothing,
-        double startFraction,
-        long idleMillis) {
-    /** The setting for ordinary days. */
-    public static final SharePolicy DEFAULT = new SharePolicy(660_000, 0.5, 0.9, 256, 2_000, 100, 500, 2);
-
-    private static final double USUAL_DEMAND_SMOOTHING = 0.03;
-    private static final double USUAL_START_FRACTION = 0;
-    private static final long USUAL_IDLE_MILLIS = 15_000;
+        int holderCount) {
 
-    /** Creates a policy that measures demand slowly, holds nothing before, and gives idle shares back soon. */
-    public SharePolicy(
-            long horizonMillis,
-            double freeFraction,
-            double heldFraction,
-            long minimumGrantTokens,
-            long waitMillis,
-            long retryMillis,
-            long handoverAfterMillis,
-            int holderCount) {
-        this(
-                horizonMillis,
-                freeFraction,
-                heldFraction,
-                minimumGrantTokens,
-                waitMillis,
-                retryMillis,
-                handoverAfterMillis,
-                holderCount,
-                USUAL_DEMAND_SMOOTHING,
-                USUAL_START_FRACTION,
-                USUAL_IDLE_MILLIS);
+    /**
+     * The finer knobs.
+     *
+     * @param demandSmoothing the weight of the last second in the measured demand
+     * @param demandShrinkage the part of a router's demand that is taken from the mean of all routers, as one router sees
+     *     few calls of a small budget
+     * @param startFraction the part of the unspent tokens that all routers together hold before demand is measured
+     * @param idleMillis a share without calls for so long is given back whole
+     * @param lowWaterFraction a share below this part of its aim is filled up
+     * @param callsHeld how many usual calls a share holds at least
+     * @param settleMillis the shortest time between two reports of bills
+     * @param noticeMillis the shortest time between two notices that a share is short
+     */
+    public record Tuning(
+            double demandSmoothing,
+            double demandShrinkage,
+            double startFraction,
+            long idleMillis,
+            double lowWaterFraction,
+            double callsHeld,
+            long settleMillis,
+            long noticeMillis) {
+        /** Measures demand slowly, holds nothing before, reports bills at once. */
+        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 1_000);
     }
 
+    /** The setting for ordinary days. */
+    public static final SharePolicy DEFAULT = new SharePolicy(660_000, 0.5, 0.9, 256, 2_000, 100, 500, 2);
+
     /** Checks the fields. */
     public SharePolicy {
         if (horizonMillis <= 0) {
@@ -78,9 +71,6 @@
                 waitMillis,
                 retryMillis,
                 handoverAfterMillis,
-                holderCount,
-                demandSmoothing,
-                startFraction,
-                idleMillis);
+                holderCount);
     }
 }
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -55,10 +55,15 @@
 
     private static final long RATE_PERIOD_MILLIS = 1_000;
     private static final double MILLIS_PER_SECOND = 1_000.0;
-    private static final double LOW_WATER_FRACTION = 0.9;
-    private static final double CALLS_HELD = 4.0;
     private static final double EXCESS_FACTOR = 1.25;
-    private static final long NOTICE_MILLIS = 1_000;
+
+    /** A ledger that has not answered for so long is taken for unreachable: it answers in some ten milliseconds. */
+    private static final long LEDGER_SILENT_MILLIS = 500;
+
+    /** How long calls wait for tokens while the ledger is unreachable; other calls may end and free some. */
+    private static final long SILENT_WAIT_MILLIS = 100;
+
+    private static final double CALL_SMOOTHING = 0.05;
 
     private final Identity identity;
     private final LedgerGateway ledgers;
@@ -68,8 +73,11 @@
     private final HolderChoice holderChoice;
     private final ShareCounters counters = new ShareCounters();
     private SharePolicy policy;
+    private SharePolicy.Tuning tuning = SharePolicy.Tuning.USUAL;
     private IntSupplier routerCount = () -> 1;
     private long shareCount;
+    private double typicalCallTokens;
+    private long askedAtMillis;
     private long rateAtMillis;
     private long nowMillis;
 
@@ -89,8 +97,13 @@
         this.holderChoice = holderChoice;
     }
 
-    /** Tells how many routers share a budget before its demand is measured. */
-    public void useRouterCount(IntSupplier routers) {
+    /**
+     * Uses other finer knobs than the usual ones.
+     *
+     * @param routers how many routers share a budget
+     */
+    public void useTuning(SharePolicy.Tuning newTuning, IntSupplier routers) {
+        tuning = newTuning;
         routerCount = routers;
     }
 
@@ -133,16 +146,23 @@
         Share share = table.getOrCreate(budget, this::newShare);
         share.usedAtMillis = nowMillis;
         share.noteCall(tokens);
+        typicalCallTokens =
+                typicalCallTokens == 0 ? tokens : typicalCallTokens + CALL_SMOOTHING * (tokens - typicalCallTokens);
         if (share.waiters.isEmpty() && share.tryReserve(tokens)) {
             done.accept(Either.right(new Reservation(budget, share.shareId, tokens)));
             return;
         }
         share.waiters.add(new Share.Waiter(
                 tokens,
-                nowMillis + policy.waitMillis(),
+                nowMillis + (ledgerSilent() ? SILENT_WAIT_MILLIS : policy.waitMillis()),
                 result -> done.accept(result.map(ok -> new Reservation(budget, share.shareId, tokens)))));
     }
 
+    /** Returns whether the ledger has left a request without an answer for long. */
+    public boolean ledgerSilent() {
+        return askedAtMillis > 0 && nowMillis - askedAtMillis >= LEDGER_SILENT_MILLIS;
+    }
+
     /** Frees a reservation of a request that is not billed. */
     public void cancel(Reservation reservation) {
         current(reservation).ifPresent(share -> share.cancelReservation(reservation.tokens()));
@@ -188,7 +208,7 @@
     /** Runs over all shares. */
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
-        bills.startTick(tickMillis, policy);
+        bills.startTick(tickMillis, policy, tuning);
         boolean measure = tickMillis - rateAtMillis >= RATE_PERIOD_MILLIS;
         for (Share share : List.copyOf(table.rows())) {
             if (measure) {
@@ -211,7 +231,7 @@
         }
         double rate = share.demandTokens * MILLIS_PER_SECOND / elapsedMillis;
         share.demandSeconds++;
-        double weight = Math.max(policy.demandSmoothing(), 1.0 / share.demandSeconds);
+        double weight = Math.max(tuning.demandSmoothing(), 1.0 / share.demandSeconds);
         share.demandTokensPerSecond += weight * (rate - share.demandTokensPerSecond);
         share.demandTokens = 0;
     }
@@ -254,25 +274,40 @@
     /** Returns what the share should have available: the demand of the horizon, within its fair part of what is left. */
     private long targetTokens(Share share) {
         long horizonMillis = share.horizonMillis > 0 ? share.horizonMillis : policy.horizonMillis();
-        double demand = share.demandTokensPerSecond * horizonMillis / MILLIS_PER_SECOND;
-        long few = Math.max(policy.minimumGrantTokens(), (long) (CALLS_HELD * share.typicalCallTokens));
+        double demand = expectedDemand(share) * horizonMillis / MILLIS_PER_SECOND;
+        long few = Math.max(policy.minimumGrantTokens(), (long) (tuning.callsHeld() * usualCallTokens(share)));
         long wanted = (long) demand + few;
         if (!share.accountSeen) {
             return wanted;
         }
         double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
-        double part = (share.demandTokensPerSecond + 1) / (share.demandTokensPerSecond + others + 1);
+        double own = expectedDemand(share);
+        double part = (own + 1) / (share.demandTokensPerSecond + others + 1);
         long fair = (long) (share.unspentTokens * policy.heldFraction() * part) - share.reservedTokens;
         return Math.max(startTokens(share), Math.max(0, Math.min(wanted, fair)));
     }
 
+    /** Returns a router's demand, drawn towards the mean of all routers. */
+    private double expectedDemand(Share share) {
+        double shrinkage = share.accountSeen ? tuning.demandShrinkage() : 0;
+        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
+        double mean = (share.demandTokensPerSecond + others) / Math.max(1, routerCount.getAsInt());
+        return shrinkage * mean + (1 - shrinkage) * share.demandTokensPerSecond;
+    }
+
+    /** Returns the usual size of a call; that of all budgets where this one has had smaller calls or none. */
+    private double usualCallTokens(Share share) {
+        boolean prepared = tuning.startFraction() > 0;
+        return prepared ? Math.max(share.typicalCallTokens, typicalCallTokens) : share.typicalCallTokens;
+    }
+
     /** Returns what a share has before demand is measured: an equal part for each router. */
     private long startTokens(Share share) {
         boolean measured = share.demandSeconds * RATE_PERIOD_MILLIS >= policy.horizonMillis();
         if (measured) {
             return 0;
         }
-        double part = policy.startFraction() / Math.max(1, routerCount.getAsInt());
+        double part = tuning.startFraction() / Math.max(1, routerCount.getAsInt());
         return (long) (share.unspentTokens * part) - share.reservedTokens;
     }
 
@@ -280,7 +315,7 @@
         if (share.requestInFlight || nowMillis < share.nextRequestAtMillis) {
             return;
         }
-        if (nowMillis - share.usedAtMillis >= policy.idleMillis() && share.settled() && share.waiters.isEmpty()) {
+        if (nowMillis - share.usedAtMillis >= tuning.idleMillis() && share.settled() && share.waiters.isEmpty()) {
             retire(share);
             return;
         }
@@ -291,12 +326,12 @@
             requestGrant(share, waiting - available + target, shortestNeed(share) - available);
             return;
         }
-        boolean wanted = share.demandTokensPerSecond >= 1 || policy.startFraction() > 0;
-        if (available < (long) (target * LOW_WATER_FRACTION) && wanted) {
+        boolean wanted = share.demandTokensPerSecond >= 1 || tuning.startFraction() > 0;
+        if (available < (long) (target * tuning.lowWaterFraction()) && wanted) {
             requestGrant(share, target - available, 0);
             return;
         }
-        double slack = CALLS_HELD * share.typicalCallTokens;
+        double slack = tuning.callsHeld() * usualCallTokens(share);
         double keep = share.wantedElsewhere ? target : target * EXCESS_FACTOR + slack;
         if (available > (long) keep) {
             giveBack(share, available - target);
@@ -332,12 +367,19 @@
                 reportDemand(share),
                 holders);
         counters.grantRequests++;
+        noteAsked();
         ledgers.submit(
                 share.partition,
                 LedgerOps.grant(share.budget, request, policy.freeFraction()),
                 result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
     }
 
+    private void noteAsked() {
+        if (askedAtMillis == 0) {
+            askedAtMillis = nowMillis;
+        }
+    }
+
     private static long reportDemand(Share share) {
         share.reportedDemandTokensPerSecond = (long) share.demandTokensPerSecond;
         return share.reportedDemandTokensPerSecond;
@@ -359,6 +401,7 @@
             return;
         }
         share.requestInFlight = false;
+        askedAtMillis = 0;
         Optional<Failure> failure = LedgerOps.failure(result);
         if (failure.isPresent()) {
             onRefused(share, failure.get());
@@ -382,7 +425,7 @@
     private void onExhausted(Share share, long minimumTokens) {
         counters.shortages++;
         if (nowMillis >= share.nextNoticeAtMillis) {
-            share.nextNoticeAtMillis = nowMillis + NOTICE_MILLIS;
+            share.nextNoticeAtMillis = nowMillis + tuning.noticeMillis();
             shortage.announce(share.budget, share.shareId, minimumTokens);
         }
     }
@@ -423,6 +466,7 @@
         share.nextRequestAtMillis = nowMillis + policy.retryMillis();
         String askedFor = share.shareId;
         counters.giveBacks++;
+        noteAsked();
         ledgers.submit(
                 share.partition,
                 LedgerOps.giveBack(share.budget, askedFor, share.requestSeq, tokens, reportDemand(share)),
@@ -446,6 +490,7 @@
     /** Gives every share back whole; to be called again until {@link #retired}. */
     public void retire() {
         for (Share share : List.copyOf(table.rows())) {
+            share.urgentSettle = true;
             if (share.settled() && !share.requestInFlight) {
                 retire(share);
             }
--- a/src/main/java/org/radishspan/front/FrontProcess.java
+++ b/src/main/java/org/radishspan/front/FrontProcess.java
@@ -32,11 +32,14 @@
 import org.radishspan.http.HttpTransport;
 import org.radishspan.http.WakingTransport;
 import org.radishspan.log.EventLog;
+import org.radishspan.peer.Peer;
+import org.radishspan.peer.PeerTransport;
 import org.radishspan.platform.CallerCodec;
 import org.radishspan.platform.HttpCallerExchange;
 import org.radishspan.platform.HttpTargetProtocol;
 import org.radishspan.platform.ObjectApi;
 import org.radishspan.platform.VmSettingsReader;
+import org.radishspan.proto.PeerMessage;
 import org.radishspan.settings.SettingFault;
 
 /** A router on the users' platform with its sockets and its clock. */
@@ -58,6 +61,12 @@
     /** How often the settings file is looked at, as it may change without a signal. */
     private static final long SETTINGS_CHECK_MILLIS = 2_000;
 
+    /**
+     * What routers prove to each other. The platform hands out no secret, and its network lets only the deployment's own VMs
+     * reach these ports; the proof keeps other protocols out.
+     */
+    private static final String PEER_SECRET = "radishspan";
+
     private static final int INCARNATION_BYTES = 6;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -65,11 +74,13 @@
 
     private final Path settingsFile;
     private final VmSettings settings;
+    private final String incarnation;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final EventLog log;
     private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final FrontRouter router;
+    private final PeerTransport peerTransport;
     private final HttpServer callerServer;
     private final CompletableFuture<Integer> ended = new CompletableFuture<>();
     private byte[] settingsText;
@@ -82,7 +93,7 @@
         this.settingsText = settingsText;
         this.settings = settings;
         this.log = EventLog.start(new FileOutputStream(FileDescriptor.out), System::currentTimeMillis);
-        String incarnation = settings.vm() + "-" + randomHex();
+        this.incarnation = settings.vm() + "-" + randomHex();
         HttpTransport transport = new WakingTransport(new HttpClient(group), this::wake);
         ObjectApi store = new ObjectApi(transport, settings.store().address());
         RouterEntry self = new RouterEntry(
@@ -98,10 +109,13 @@
                         store,
                         transport,
                         new HttpTargetProtocol(),
+                        this::sendToPeer,
                         RandomSource.XO_SHI_RO_256_PP.create(),
                         FrontProcess::nowMillis,
                         log,
                         meters));
+        this.peerTransport = new PeerTransport(
+                group, settings.ip(), self.peerAddress().port(), PEER_SECRET, this::hello, this::onPeerMessage);
         log.process("start")
                 .with("vm", settings.vm())
                 .with("incarnation", incarnation)
@@ -152,6 +166,19 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    private void sendToPeer(Peer peer, PeerMessage message) {
+        peerTransport.send(peer, message);
+    }
+
+    private PeerMessage hello() {
+        return router.peers().hello(PeerTransport.proof(PEER_SECRET, settings.vm(), incarnation));
+    }
+
+    private void onPeerMessage(String vm, PeerMessage message) {
+        router.peers().onMessage(vm, message);
+        wake();
+    }
+
     private HttpServer.Limits limits() {
         CallerLimits limits = router.configuration()
                 .current()
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
@@ -11,10 +12,12 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.budget.AccountChanges;
+import org.radishspan.budget.Ledger;
 import org.radishspan.budget.LedgerGateway;
 import org.radishspan.budget.LedgerPartitions;
 import org.radishspan.budget.SharePolicy;
 import org.radishspan.budget.ShareSystem;
+import org.radishspan.deployment.Address;
 import org.radishspan.deployment.ConfigurationInForce;
 import org.radishspan.deployment.DeploymentConfiguration;
 import org.radishspan.deployment.RouterEntry;
@@ -24,6 +27,9 @@
 import org.radishspan.deployment.Workspace;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.log.EventLog;
+import org.radishspan.peer.PeerCombiners;
+import org.radishspan.peer.PeerLink;
+import org.radishspan.peer.PeerSystem;
 import org.radishspan.platform.ConfigurationCodec;
 import org.radishspan.platform.RouterCodec;
 import org.radishspan.platform.TargetCodec;
@@ -34,6 +40,7 @@
 import org.radishspan.relay.RetryBudget;
 import org.radishspan.relay.TargetProtocol;
 import org.radishspan.routing.TargetTable;
+import org.radishspan.routing.TargetTable.ListedVm;
 import org.radishspan.store.CallBudget;
 import org.radishspan.store.KindWatch;
 import org.radishspan.store.ObjectKinds;
@@ -50,6 +57,7 @@
      * @param kinds the platform's object API as kinds of objects
      * @param transport the way to targets
      * @param protocol how requests look there
+     * @param peerLink the way to other routers
      * @param random for jitter and choices
      * @param clockMillis a clock that never steps
      * @param log the structured log
@@ -60,6 +68,7 @@
             ObjectKinds kinds,
             HttpTransport transport,
             TargetProtocol protocol,
+            PeerLink peerLink,
             UniformRandomProvider random,
             LongSupplier clockMillis,
             EventLog log,
@@ -71,11 +80,16 @@
     /** Before demand is measured all routers together hold this part of a budget: what 13 s of a usual day use. */
     private static final double START_FRACTION = 0.3;
 
-    private static final SharePolicy SHARE_POLICY =
-            new SharePolicy(HORIZON_MILLIS, 0.5, 0.9, 256, 800, 200, 500, 0, 0.1, START_FRACTION, 600_000);
+    private static final SharePolicy.Tuning SHARE_TUNING =
+            new SharePolicy.Tuning(0.1, 0.5, START_FRACTION, 600_000, 0.7, 2, 1_000, 200);
+
+    private static final SharePolicy SHARE_POLICY = new SharePolicy(HORIZON_MILLIS, 0.5, 0.9, 256, 800, 100, 500, 0);
 
     /** The shortest time between two writes of a router to one ledger; the fleet's write rate leaves room for it. */
-    private static final long COMMIT_GAP_MILLIS = 500;
+    private static final long COMMIT_GAP_MILLIS = 100;
+
+    /** A router that commits for others answers within a commit gap and a few milliseconds of the store. */
+    private static final long COMBINER_ANSWER_MILLIS = 300;
 
     /** Ledgers of a deployment with tens of workspaces fit into one object. */
     private static final int LEDGERS = 1;
@@ -100,6 +114,7 @@
     private final KindWatch<RouterEntry> routerWatch;
     private final SharedObject.Ports objectPorts;
     private final LedgerPartitions ledgers;
+    private final PeerSystem peers;
     private final LedgerGateway gateway;
     private final ShareSystem shares;
     private final RelaySystem relay;
@@ -130,15 +145,21 @@
                 ports.random(),
                 COMMIT_GAP_MILLIS);
         this.ledgers = new LedgerPartitions(LEDGERS, objectPorts);
-        this.gateway = new LedgerGateway(ledgers, new CommitHere());
+        this.peers = new PeerSystem(
+                new PeerSystem.Self(self.vm(), self.incarnation(), self.failureDomain()),
+                ports.peerLink(),
+                new PeerHandlers(),
+                configuration::version,
+                this::requestsInProgress);
+        this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers), COMBINER_ANSWER_MILLIS);
         this.shares = new ShareSystem(
                 new ShareSystem.Identity(self.vm(), self.incarnation()),
                 gateway,
                 SHARE_POLICY,
-                (budget, shareId, tokens) -> {},
+                peers::announceShortage,
                 (holder, budget, settlement, accepted) -> accepted.accept(false),
                 count -> List.of());
-        shares.useRouterCount(this::routerCount);
+        shares.useTuning(SHARE_TUNING, this::routerCount);
         VmSettings.Bounds bounds = settings.bounds();
         this.relay = new RelaySystem(
                 new RelaySystem.Ports(
@@ -169,6 +190,10 @@
         return Math.max(1, routers.size());
     }
 
+    private int requestsInProgress() {
+        return relay.inProgress();
+    }
+
     private void onConfiguration(DeploymentConfiguration adopted) {
         if (configuredAtMillis == 0) {
             configuredAtMillis = ports.clockMillis().getAsLong();
@@ -212,6 +237,11 @@
         return shares;
     }
 
+    /** Returns the other routers. */
+    public PeerSystem peers() {
+        return peers;
+    }
+
     /** Returns the ledgers. */
     public LedgerPartitions ledgers() {
         return ledgers;
@@ -232,6 +262,7 @@
     /** Says that the router is no longer ready, and takes it out of the list of routers. */
     public void drain() {
         draining = true;
+        peers.drain();
         ports.kinds().remove(RouterCodec.KIND, self.vm(), reply -> {
             if (reply.isLeft()) {
                 ports.log()
@@ -259,6 +290,7 @@
         targetDirectory.tick();
         routerWatch.tick(nowMillis);
         announce(nowMillis);
+        peers.tick(nowMillis);
         relay.tick();
         if (draining && relay.inProgress() == 0) {
             shares.retire();
@@ -291,34 +323,77 @@
         @Override
         public void onPresent(String name, RouterEntry entry) {
             routers.put(name, entry);
+            updatePeers();
         }
 
         @Override
         public void onAbsent(String name) {
             routers.remove(name);
+            if (name.equals(self.vm())) {
+                announced = false;
+            }
+            updatePeers();
+        }
+
+        private void updatePeers() {
+            peers.replace(routers.values().stream().map(this::listed).toList());
+        }
+
+        private ListedVm listed(RouterEntry entry) {
+            Address address = entry.peerAddress();
+            return new ListedVm(
+                    entry.vm(), "router", address.host(), address.port(), entry.failureDomain(), false, Set.of());
         }
     }
 
-    /** Every router commits its changes of ledgers itself. */
-    private static final class CommitHere implements LedgerGateway.Combiners {
+    /** What peers ask of this router. */
+    private final class PeerHandlers implements PeerSystem.Handlers {
+        @Override
+        public boolean keepBill(String budget, Ledger.Settlement settlement) {
+            // Answers do not wait for their bills here, so nobody hands bills over.
+            return false;
+        }
+
         @Override
-        public String combinerOf(int partition) {
-            return "";
+        public void onShortage(String budget, long tokens) {
+            shares.onShortage(budget, tokens);
         }
 
         @Override
-        public void send(String vm, LedgerCall call) {
-            throw new IllegalStateException("no router commits for this one");
+        public void onLedgerCall(String vm, LedgerCall call) {
+            gateway.onCall(vm, call);
+        }
+
+        @Override
+        public void onLedgerAnswer(LedgerAnswer answer) {
+            gateway.onAnswer(answer);
+        }
+
+        @Override
+        public void onLedgerNotice(int partition) {
+            // Only holders of bills look at ledgers when they are told.
+        }
+
+        @Override
+        public void onStrike(String fingerprint, String target) {
+            // Strikes are not exchanged on this platform yet.
+        }
+
+        @Override
+        public void onRevision(long revision) {
+            if (revision > configuration.version()) {
+                configurationWatch.relist();
+            }
         }
 
         @Override
-        public void onUnanswered(String vm) {
-            throw new IllegalStateException("no router commits for this one");
+        public void onProcessGone(String incarnation) {
+            ports.log().belief("router_gone").with("incarnation", incarnation).write();
         }
 
         @Override
-        public void reply(String vm, LedgerAnswer answer) {
-            throw new IllegalStateException("this router commits for no other one");
+        public void onProcessAlive(String incarnation) {
+            // The table of peers has noted it.
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/radishspan/peer/PeerCombiners.java
@@ -0,0 +1,36 @@
+package org.radishspan.peer;
+
+import org.radishspan.budget.LedgerGateway;
+import org.radishspan.proto.LedgerAnswer;
+import org.radishspan.proto.LedgerCall;
+import org.radishspan.proto.PeerMessage;
+
+/** Finds the routers that commit for ledgers among the peers. */
+public final class PeerCombiners implements LedgerGateway.Combiners {
+    private final PeerSystem peers;
+
+    /** Creates the view of a router's peers. */
+    public PeerCombiners(PeerSystem peers) {
+        this.peers = peers;
+    }
+
+    @Override
+    public String combinerOf(int partition) {
+        return peers.table().combinerOf(partition);
+    }
+
+    @Override
+    public void send(String vm, LedgerCall call) {
+        peers.sendTo(vm, PeerMessage.newBuilder().setLedgerCall(call).build());
+    }
+
+    @Override
+    public void onUnanswered(String vm) {
+        peers.table().onUnanswered(vm);
+    }
+
+    @Override
+    public void reply(String vm, LedgerAnswer answer) {
+        peers.sendTo(vm, PeerMessage.newBuilder().setLedgerAnswer(answer).build());
+    }
+}
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -19,6 +19,7 @@
 import org.radishspan.journal.Journal;
 import org.radishspan.journal.JournalPartitions;
 import org.radishspan.membership.MembershipSystem;
+import org.radishspan.peer.PeerCombiners;
 import org.radishspan.peer.PeerLink;
 import org.radishspan.peer.PeerSystem;
 import org.radishspan.proto.ConfigurationState;
@@ -112,7 +113,7 @@
                 new PeerHandlers(),
                 () -> configuration().inForce().getRevision(),
                 this::requestsInProgress);
-        this.gateway = new LedgerGateway(ledgers, new PeerCombiners());
+        this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers));
         this.shares = new ShareSystem(
                 new ShareSystem.Identity(settings.vm(), incarnation),
                 gateway,
@@ -343,29 +344,6 @@
         peers.onMessage(vm, message);
     }
 
-    private final class PeerCombiners implements LedgerGateway.Combiners {
-
-        @Override
-        public String combinerOf(int partition) {
-            return peers.table().combinerOf(partition);
-        }
-
-        @Override
-        public void send(String vm, LedgerCall call) {
-            peers.sendTo(vm, PeerMessage.newBuilder().setLedgerCall(call).build());
-        }
-
-        @Override
-        public void onUnanswered(String vm) {
-            peers.table().onUnanswered(vm);
-        }
-
-        @Override
-        public void reply(String vm, LedgerAnswer answer) {
-            peers.sendTo(vm, PeerMessage.newBuilder().setLedgerAnswer(answer).build());
-        }
-    }
-
     private final class PeerHandlers implements PeerSystem.Handlers {
 
         @Override
