Close the shares of earlier processes, keep a safety stock by the spread of calls; log accounts at start

Ruled out: giving the rest back on a timer (what a process spent since its last report is unknown; a budget could be passed). Change: a process closes earlier ones of its VM, forfeits do not count as spendable, shares hold one deviation of the horizon's demand, routers weigh the fleet's mean by the calls they have seen themselves. Conclusion: fill-ups after a cut take all free tokens; the ledger needs a reserve.

--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -166,6 +166,13 @@
                 share -> share.toBuilder().setClosed(true).build());
     }
 
+    /** Closes the shares of every earlier process on a VM; only one process runs there at a time. */
+    public static Mutation<LedgerBook> closeEarlier(String vm, String incarnation) {
+        return onShares(
+                share -> share.getVm().equals(vm) && !share.getIncarnation().equals(incarnation) && !share.getClosed(),
+                share -> share.toBuilder().setClosed(true).build());
+    }
+
     /**
      * A bill that a journal committed.
      *
--- a/src/main/java/org/radishspan/budget/LedgerOps.java
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -135,6 +135,7 @@
             share.ifPresent(builder::setShare);
             builder.setHorizonMillis(account.getHorizonMillis());
             builder.setUnspentTokens(Accounts.unspentTokens(account));
+            builder.setForfeitedTokens(Accounts.forfeitedTokens(account));
             builder.setDemandTokensPerSecond(Accounts.demandTokensPerSecond(account));
             builder.setWantedElsewhere(Accounts.wantedElsewhere(account, shareId(op)));
         }
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -48,12 +48,14 @@
     boolean urgentSettle;
     double demandTokensPerSecond;
     long demandSeconds;
+    double callsSeen;
     double typicalCallTokens;
     long demandTokens;
     boolean exhausted;
     boolean wantedElsewhere;
     boolean accountSeen;
     long unspentTokens;
+    long forfeitedTokens;
     long horizonMillis;
     long fleetDemandTokensPerSecond;
     long reportedDemandTokensPerSecond;
@@ -119,6 +121,7 @@
     }
 
     void noteCall(long tokens) {
+        callsSeen++;
         typicalCallTokens =
                 typicalCallTokens == 0 ? tokens : typicalCallTokens + CALL_SMOOTHING * (tokens - typicalCallTokens);
     }
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -26,26 +26,28 @@
      * The finer knobs.
      *
      * @param demandSmoothing the weight of the last second in the measured demand
-     * @param demandShrinkage the part of a router's demand that is taken from the mean of all routers, as one router sees
-     *     few calls of a small budget
+     * @param priorCalls how many calls of its own weigh as much as the mean of all routers, when a router estimates its
+     *     demand for a budget of which it sees few calls
      * @param startFraction the part of the unspent tokens that all routers together hold before demand is measured
      * @param idleMillis a share without calls for so long is given back whole
      * @param lowWaterFraction a share below this part of its aim is filled up
      * @param callsHeld how many usual calls a share holds at least
+     * @param safetyFactor how many standard deviations of the horizon's demand a share holds beyond the mean
      * @param settleMillis the shortest time between two reports of bills
      * @param noticeMillis the shortest time between two notices that a share is short
      */
     public record Tuning(
             double demandSmoothing,
-            double demandShrinkage,
+            double priorCalls,
             double startFraction,
             long idleMillis,
             double lowWaterFraction,
             double callsHeld,
+            double safetyFactor,
             long settleMillis,
             long noticeMillis) {
         /** Measures demand slowly, holds nothing before, reports bills at once. */
-        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 1_000);
+        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 1_000);
     }
 
     /** The setting for ordinary days. */
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -77,6 +77,7 @@
     private IntSupplier routerCount = () -> 1;
     private long shareCount;
     private double typicalCallTokens;
+    private double squaredCallTokens;
     private long askedAtMillis;
     private long rateAtMillis;
     private long nowMillis;
@@ -148,19 +149,23 @@
         share.noteCall(tokens);
         typicalCallTokens =
                 typicalCallTokens == 0 ? tokens : typicalCallTokens + CALL_SMOOTHING * (tokens - typicalCallTokens);
+        double square = (double) tokens * tokens;
+        squaredCallTokens =
+                squaredCallTokens == 0 ? square : squaredCallTokens + CALL_SMOOTHING * (square - squaredCallTokens);
         if (share.waiters.isEmpty() && share.tryReserve(tokens)) {
             done.accept(Either.right(new Reservation(budget, share.shareId, tokens)));
             return;
         }
         share.waiters.add(new Share.Waiter(
                 tokens,
-                nowMillis + (ledgerSilent() ? SILENT_WAIT_MILLIS : policy.waitMillis()),
+                nowMillis + (ledgerSilentMillis() > 0 ? SILENT_WAIT_MILLIS : policy.waitMillis()),
                 result -> done.accept(result.map(ok -> new Reservation(budget, share.shareId, tokens)))));
     }
 
-    /** Returns whether the ledger has left a request without an answer for long. */
-    public boolean ledgerSilent() {
-        return askedAtMillis > 0 && nowMillis - askedAtMillis >= LEDGER_SILENT_MILLIS;
+    /** Returns for how long the ledger has left a request without an answer; 0 if it answers as usual. */
+    public long ledgerSilentMillis() {
+        long millis = askedAtMillis > 0 ? nowMillis - askedAtMillis : 0;
+        return millis >= LEDGER_SILENT_MILLIS ? millis : 0;
     }
 
     /** Frees a reservation of a request that is not billed. */
@@ -233,6 +238,7 @@
         share.demandSeconds++;
         double weight = Math.max(tuning.demandSmoothing(), 1.0 / share.demandSeconds);
         share.demandTokensPerSecond += weight * (rate - share.demandTokensPerSecond);
+        share.callsSeen *= 1 - tuning.demandSmoothing();
         share.demandTokens = 0;
     }
 
@@ -275,7 +281,9 @@
     private long targetTokens(Share share) {
         long horizonMillis = share.horizonMillis > 0 ? share.horizonMillis : policy.horizonMillis();
         double demand = expectedDemand(share) * horizonMillis / MILLIS_PER_SECOND;
-        long few = Math.max(policy.minimumGrantTokens(), (long) (tuning.callsHeld() * usualCallTokens(share)));
+        double deviation = Math.sqrt(demand * sizeBiasedCallTokens());
+        double spare = tuning.callsHeld() * usualCallTokens(share) + tuning.safetyFactor() * deviation;
+        long few = Math.max(policy.minimumGrantTokens(), (long) spare);
         long wanted = (long) demand + few;
         if (!share.accountSeen) {
             return wanted;
@@ -283,18 +291,29 @@
         double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
         double own = expectedDemand(share);
         double part = (own + 1) / (share.demandTokensPerSecond + others + 1);
-        long fair = (long) (share.unspentTokens * policy.heldFraction() * part) - share.reservedTokens;
+        long fair = (long) (spendableTokens(share) * policy.heldFraction() * part) - share.reservedTokens;
         return Math.max(startTokens(share), Math.max(0, Math.min(wanted, fair)));
     }
 
+    /** Returns the unspent tokens of the whole fleet without those that ended processes took with them. */
+    private static long spendableTokens(Share share) {
+        return Math.max(0, share.unspentTokens - share.forfeitedTokens);
+    }
+
     /** Returns a router's demand, drawn towards the mean of all routers. */
     private double expectedDemand(Share share) {
-        double shrinkage = share.accountSeen ? tuning.demandShrinkage() : 0;
+        double priorCalls = share.accountSeen ? tuning.priorCalls() : 0;
+        double shrinkage = priorCalls == 0 ? 0 : priorCalls / (priorCalls + share.callsSeen);
         double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
         double mean = (share.demandTokensPerSecond + others) / Math.max(1, routerCount.getAsInt());
         return shrinkage * mean + (1 - shrinkage) * share.demandTokensPerSecond;
     }
 
+    /** Returns by how much a call usually changes a sum of calls: the mean square over the mean. */
+    private double sizeBiasedCallTokens() {
+        return typicalCallTokens == 0 ? 0 : squaredCallTokens / typicalCallTokens;
+    }
+
     /** Returns the usual size of a call; that of all budgets where this one has had smaller calls or none. */
     private double usualCallTokens(Share share) {
         boolean prepared = tuning.startFraction() > 0;
@@ -308,7 +327,7 @@
             return 0;
         }
         double part = tuning.startFraction() / Math.max(1, routerCount.getAsInt());
-        return (long) (share.unspentTokens * part) - share.reservedTokens;
+        return (long) (spendableTokens(share) * part) - share.reservedTokens;
     }
 
     private void adjust(Share share) {
@@ -434,6 +453,7 @@
         share.accountSeen = true;
         share.horizonMillis = result.getHorizonMillis();
         share.unspentTokens = result.getUnspentTokens();
+        share.forfeitedTokens = result.getForfeitedTokens();
         share.fleetDemandTokensPerSecond = result.getDemandTokensPerSecond();
         share.wantedElsewhere = result.getWantedElsewhere();
     }
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -10,9 +10,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.vavr.control.Either;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.budget.AccountChanges;
+import org.radishspan.budget.Accounts;
 import org.radishspan.budget.Ledger;
+import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.LedgerGateway;
 import org.radishspan.budget.LedgerPartitions;
 import org.radishspan.budget.SharePolicy;
@@ -25,6 +28,7 @@
 import org.radishspan.deployment.TargetEntry;
 import org.radishspan.deployment.VmSettings;
 import org.radishspan.deployment.Workspace;
+import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.log.EventLog;
 import org.radishspan.peer.PeerCombiners;
@@ -33,6 +37,7 @@
 import org.radishspan.platform.ConfigurationCodec;
 import org.radishspan.platform.RouterCodec;
 import org.radishspan.platform.TargetCodec;
+import org.radishspan.proto.AccountState;
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
 import org.radishspan.relay.RelayMetrics;
@@ -80,10 +85,14 @@
     /** Before demand is measured all routers together hold this part of a budget: what 13 s of a usual day use. */
     private static final double START_FRACTION = 0.3;
 
+    /** The rest stays in the ledger, as a loss of all routers at once takes with it what they hold. */
+    private static final double HELD_FRACTION = 0.6;
+
     private static final SharePolicy.Tuning SHARE_TUNING =
-            new SharePolicy.Tuning(0.1, 0.5, START_FRACTION, 600_000, 0.7, 2, 1_000, 200);
+            new SharePolicy.Tuning(0.1, 4, START_FRACTION, 600_000, 0.8, 1, 1, 1_000, 200);
 
-    private static final SharePolicy SHARE_POLICY = new SharePolicy(HORIZON_MILLIS, 0.5, 0.9, 256, 800, 100, 500, 0);
+    private static final SharePolicy SHARE_POLICY =
+            new SharePolicy(HORIZON_MILLIS, 0.5, HELD_FRACTION, 256, 800, 100, 500, 0);
 
     /** The shortest time between two writes of a router to one ledger; the fleet's write rate leaves room for it. */
     private static final long COMMIT_GAP_MILLIS = 100;
@@ -118,6 +127,7 @@
     private final LedgerGateway gateway;
     private final ShareSystem shares;
     private final RelaySystem relay;
+    private boolean earlierClosed;
     private boolean announced;
     private boolean announcing;
     private long announceAtMillis;
@@ -198,11 +208,38 @@
         if (configuredAtMillis == 0) {
             configuredAtMillis = ports.clockMillis().getAsLong();
         }
+        if (!earlierClosed) {
+            earlierClosed = true;
+            for (SharedObject<LedgerBook> ledger : ledgers.all()) {
+                ledger.submit(Ledger.closeEarlier(self.vm(), self.incarnation()), this::onEarlierClosed);
+            }
+        }
         for (Workspace workspace : adopted.workspaces()) {
             workspace.prepaidTokens().ifPresent(limit -> adoptLimit(workspace.name(), limit, adopted.version()));
         }
     }
 
+    private void onEarlierClosed(Either<Failure, LedgerBook> result) {
+        ports.log()
+                .belief("earlier_shares_closed")
+                .with("vm", self.vm())
+                .with("done", result.isRight())
+                .write();
+        result.forEach(book -> book.accounts().forEach(this::logAccount));
+    }
+
+    private void logAccount(AccountState account) {
+        ports.log()
+                .belief("account")
+                .with("budget", account.getBudget())
+                .with("limit_tokens", account.getLimitTokens())
+                .with("limit_version", account.getLimitVersion())
+                .with("billed_tokens", Accounts.billedTokens(account))
+                .with("free_tokens", Accounts.freeTokens(account))
+                .with("forfeited_tokens", Accounts.forfeitedTokens(account))
+                .write();
+    }
+
     private void adoptLimit(String budget, long limitTokens, long version) {
         shares.prepare(budget);
         ledgers.of(budget).submit(AccountChanges.adoptLimit(budget, limitTokens, version), result -> {
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -74,6 +74,9 @@
     /** When callers come back for tokens that other routers hold; those give back what they can spare within a second. */
     private static final long NO_TOKENS_RETRY_MILLIS = 600;
 
+    /** The latest time for which callers are told to come back during an outage of the ledger. */
+    private static final long MAX_OUTAGE_RETRY_MILLIS = 4_000;
+
     /** A target gets no request that has less time left than this. */
     private static final long MIN_REMAINING_MILLIS = 10;
 
@@ -237,8 +240,12 @@
         if (usedUp) {
             return Failure.notRun(ErrorKind.BUDGET_EXHAUSTED, failure.message());
         }
+        // An outage that has lasted for some time lasts as long again on average.
+        long retryMillis = Math.max(
+                NO_TOKENS_RETRY_MILLIS,
+                Math.min(MAX_OUTAGE_RETRY_MILLIS, ports.shares().ledgerSilentMillis()));
         return Failure.notRun(ErrorKind.PLATFORM_UNAVAILABLE, "this router has too few tokens of the budget at hand")
-                .retryAfter(NO_TOKENS_RETRY_MILLIS);
+                .retryAfter(retryMillis);
     }
 
     private void place(RelayRequest row) {
