Leave half of the spendable tokens in the ledger to calls that wait; log what decided a refusal for want of tokens

Cause: after a cut every router fills its share up from a balance that does not yet show what the others spent, and the ledger had one token left when all processes were killed. Change: GrantRule.keepingReserve; a share that got nothing asks again after 1 s unless calls wait.

--- a/src/main/java/org/radishspan/budget/GrantRule.java
+++ b/src/main/java/org/radishspan/budget/GrantRule.java
@@ -32,4 +32,18 @@
             return Math.min(freeTokens, wanted);
         };
     }
+
+    /**
+     * Leaves a part of the spendable tokens in the ledger to calls that wait: another rule's grant beyond the asked minimum
+     * stops there.
+     */
+    static GrantRule keepingReserve(double reserveFraction, GrantRule rule) {
+        return (freeTokens, account, request) -> {
+            long spendable = Accounts.unspentTokens(account) - Accounts.forfeitedTokens(account);
+            long reserve = (long) (Math.max(0, spendable) * reserveFraction);
+            long beyondReserve = Math.max(0, freeTokens - reserve);
+            long granted = Math.min(rule.grantTokens(freeTokens, account, request), beyondReserve);
+            return Math.max(granted, Math.min(freeTokens, request.minimumTokens()));
+        };
+    }
 }
--- a/src/main/java/org/radishspan/budget/LedgerOps.java
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -19,7 +19,7 @@
 final class LedgerOps {
     private LedgerOps() {}
 
-    static LedgerOp grant(String budget, Ledger.GrantRequest request, double freeFraction) {
+    static LedgerOp grant(String budget, Ledger.GrantRequest request, double freeFraction, double reserveFraction) {
         return LedgerOp.newBuilder()
                 .setBudget(budget)
                 .setGrant(GrantOp.newBuilder()
@@ -31,7 +31,8 @@
                         .setMinimumTokens(request.minimumTokens())
                         .setDemandTokensPerSecond(request.demandTokensPerSecond())
                         .addAllHolders(request.holders())
-                        .setFreeFraction(freeFraction))
+                        .setFreeFraction(freeFraction)
+                        .setReserveFraction(reserveFraction))
                 .build();
     }
 
@@ -101,7 +102,9 @@
 
     private static GrantRule rule(GrantOp grant) {
         double fraction = grant.getFreeFraction();
-        return fraction > 0 && fraction <= 1 ? GrantRule.fairPart(fraction) : GrantRule.asAsked();
+        GrantRule rule = fraction > 0 && fraction <= 1 ? GrantRule.fairPart(fraction) : GrantRule.asAsked();
+        double reserve = grant.getReserveFraction();
+        return reserve > 0 && reserve <= 1 ? GrantRule.keepingReserve(reserve, rule) : rule;
     }
 
     private static Ledger.Settlement settlement(SettleOp op) {
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -43,6 +43,7 @@
     boolean retiring;
     long usedAtMillis;
     long nextRequestAtMillis;
+    long nextUrgentAtMillis;
     long nextHandoverAtMillis;
     long nextSettleAtMillis;
     boolean urgentSettle;
@@ -115,6 +116,21 @@
         return reservedTokens;
     }
 
+    /** Returns the demand of all routers, as the ledger last told. */
+    public long fleetDemandTokensPerSecond() {
+        return fleetDemandTokensPerSecond;
+    }
+
+    /** Returns the unspent tokens of the budget in the whole fleet, as the ledger last told. */
+    public long unspentTokens() {
+        return unspentTokens;
+    }
+
+    /** Returns the tokens that shares of ended processes hold, as the ledger last told. */
+    public long forfeitedTokens() {
+        return forfeitedTokens;
+    }
+
     /** Returns the measured demand. */
     public double demandTokensPerSecond() {
         return demandTokensPerSecond;
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -33,6 +33,7 @@
      * @param lowWaterFraction a share below this part of its aim is filled up
      * @param callsHeld how many usual calls a share holds at least
      * @param safetyFactor how many standard deviations of the horizon's demand a share holds beyond the mean
+     * @param reserveFraction the part of the spendable tokens that shares leave to calls that wait
      * @param settleMillis the shortest time between two reports of bills
      * @param noticeMillis the shortest time between two notices that a share is short
      */
@@ -44,10 +45,11 @@
             double lowWaterFraction,
             double callsHeld,
             double safetyFactor,
+            double reserveFraction,
             long settleMillis,
             long noticeMillis) {
         /** Measures demand slowly, holds nothing before, reports bills at once. */
-        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 1_000);
+        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 1_000);
     }
 
     /** The setting for ordinary days. */
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -63,6 +63,9 @@
     /** How long calls wait for tokens while the ledger is unreachable; other calls may end and free some. */
     private static final long SILENT_WAIT_MILLIS = 100;
 
+    /** When a share that was not filled up asks again, unless calls wait. */
+    private static final long FILL_RETRY_MILLIS = 1_000;
+
     private static final double CALL_SMOOTHING = 0.05;
 
     private final Identity identity;
@@ -331,7 +334,9 @@
     }
 
     private void adjust(Share share) {
-        if (share.requestInFlight || nowMillis < share.nextRequestAtMillis) {
+        boolean due = nowMillis >= share.nextRequestAtMillis
+                || !share.waiters.isEmpty() && nowMillis >= share.nextUrgentAtMillis;
+        if (share.requestInFlight || !due) {
             return;
         }
         if (nowMillis - share.usedAtMillis >= tuning.idleMillis() && share.settled() && share.waiters.isEmpty()) {
@@ -374,6 +379,7 @@
         share.requestInFlight = true;
         share.requestSeq++;
         share.nextRequestAtMillis = nowMillis + policy.retryMillis();
+        share.nextUrgentAtMillis = share.nextRequestAtMillis;
         String askedFor = share.shareId;
         List<String> holders = holdersToRecord(share);
         Ledger.GrantRequest request = new Ledger.GrantRequest(
@@ -389,7 +395,7 @@
         noteAsked();
         ledgers.submit(
                 share.partition,
-                LedgerOps.grant(share.budget, request, policy.freeFraction()),
+                LedgerOps.grant(share.budget, request, policy.freeFraction(), tuning.reserveFraction()),
                 result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
     }
 
@@ -430,7 +436,12 @@
             lose(share);
             return;
         }
+        boolean gained = result.getShare().getGrantedTokens() > share.grantedTokens;
         share.grantedTokens = result.getShare().getGrantedTokens();
+        if (!gained && minimumTokens == 0) {
+            // Nothing is left for shares that only fill up.
+            share.nextRequestAtMillis = nowMillis + FILL_RETRY_MILLIS;
+        }
         share.holders.clear();
         share.holders.addAll(holders);
         share.exhausted = result.getShare().getWantedTokens() > 0;
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -86,10 +86,10 @@
     private static final double START_FRACTION = 0.3;
 
     /** The rest stays in the ledger, as a loss of all routers at once takes with it what they hold. */
-    private static final double HELD_FRACTION = 0.6;
+    private static final double HELD_FRACTION = 0.5;
 
     private static final SharePolicy.Tuning SHARE_TUNING =
-            new SharePolicy.Tuning(0.1, 4, START_FRACTION, 600_000, 0.8, 1, 1, 1_000, 200);
+            new SharePolicy.Tuning(0.1, 4, START_FRACTION, 600_000, 0.8, 1, 1, 1 - HELD_FRACTION, 1_000, 200);
 
     private static final SharePolicy SHARE_POLICY =
             new SharePolicy(HORIZON_MILLIS, 0.5, HELD_FRACTION, 256, 800, 100, 500, 0);
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -12,6 +12,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.budget.Reservation;
+import org.radishspan.budget.Share;
 import org.radishspan.budget.ShareSystem;
 import org.radishspan.deployment.DeploymentConfiguration;
 import org.radishspan.deployment.Route;
@@ -229,14 +230,25 @@
         OptionalLong unspent = ports.shares().unspentTokens(budget);
         boolean usedUp =
                 failure.kind() == ErrorKind.BUDGET_EXHAUSTED && unspent.isPresent() && unspent.getAsLong() < tokens;
-        ports.log()
+        EventLog.Line line = ports.log()
                 .trouble("no_tokens", row.id())
                 .with("budget", budget)
                 .with("tokens", tokens)
-                .with("unspent_tokens", unspent.orElse(-1))
                 .with("ledger", failure.kind().wireName())
-                .with("used_up", usedUp)
-                .write();
+                .with("ledger_silent_ms", ports.shares().ledgerSilentMillis())
+                .with("unspent_tokens", unspent.orElse(-1))
+                .with("used_up", usedUp);
+        Share share = ports.shares().table().get(budget);
+        if (share != null) {
+            line.with("share_granted", share.grantedTokens())
+                    .with("share_available", share.availableTokens())
+                    .with("share_reserved", share.reservedTokens())
+                    .with("demand_per_s", (long) share.demandTokensPerSecond())
+                    .with("fleet_demand_per_s", share.fleetDemandTokensPerSecond())
+                    .with("fleet_unspent_tokens", share.unspentTokens())
+                    .with("forfeited_tokens", share.forfeitedTokens());
+        }
+        line.write();
         if (usedUp) {
             return Failure.notRun(ErrorKind.BUDGET_EXHAUSTED, failure.message());
         }
