--- a/src/main/java/org/radishspan/budget/GrantRule.java
+++ b/src/main/java/org/radishspan/budget/GrantRule.java
@@ -34,16 +34,18 @@
     }
 
     /**
-     * Leaves a part of the spendable tokens in the ledger to calls that wait: another rule's grant beyond the asked minimum
-     * stops there.
+     * Leaves a part of the spendable tokens in the ledger to calls that wait: a request without a minimum, which only fills
+     * a share up, gets nothing of it.
      */
     static GrantRule keepingReserve(double reserveFraction, GrantRule rule) {
         return (freeTokens, account, request) -> {
-            long spendable = Accounts.unspentTokens(account) - Accounts.forfeitedTokens(account);
-            long reserve = (long) (Math.max(0, spendable) * reserveFraction);
-            long beyondReserve = Math.max(0, freeTokens - reserve);
-            long granted = Math.min(rule.grantTokens(freeTokens, account, request), beyondReserve);
-            return Math.max(granted, Math.min(freeTokens, request.minimumTokens()));
+            long granted = rule.grantTokens(freeTokens, account, request);
+            if (request.minimumTokens() > 0) {
+                return granted;
+            }
+            long spendable = Math.max(0, Accounts.unspentTokens(account) - Accounts.forfeitedTokens(account));
+            long reserve = (long) (spendable * reserveFraction);
+            return Math.min(granted, Math.max(0, freeTokens - reserve));
         };
     }
 }
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -347,7 +347,9 @@
         long available = share.availableTokens();
         long target = targetTokens(share);
         if (waiting > available) {
-            requestGrant(share, waiting - available + target, shortestNeed(share) - available);
+            // What fills the share up is asked for apart where the ledger keeps a reserve for calls that wait.
+            long fill = tuning.reserveFraction() > 0 ? 0 : target;
+            requestGrant(share, waiting - available + fill, shortestNeed(share) - available);
             return;
         }
         boolean wanted = share.demandTokensPerSecond >= 1 || tuning.startFraction() > 0;
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -79,14 +79,14 @@
             EventLog log,
             MeterRegistry meters) {}
 
-    /** A share covers the longest usual cut from the store, 12 s, and a little more. */
-    private static final long HORIZON_MILLIS = 13_000;
+    /** A share covers the usual cut from the store, 7 to 12 s. */
+    private static final long HORIZON_MILLIS = 10_000;
 
-    /** Before demand is measured all routers together hold this part of a budget: what 13 s of a usual day use. */
-    private static final double START_FRACTION = 0.3;
+    /** Before demand is measured all routers together hold this part of a budget: what 10 s of a usual day use. */
+    private static final double START_FRACTION = 0.25;
 
     /** The rest stays in the ledger, as a loss of all routers at once takes with it what they hold. */
-    private static final double HELD_FRACTION = 0.5;
+    private static final double HELD_FRACTION = 0.35;
 
     private static final SharePolicy.Tuning SHARE_TUNING =
             new SharePolicy.Tuning(0.1, 4, START_FRACTION, 600_000, 0.8, 1, 1, 1 - HELD_FRACTION, 1_000, 200);
--- /dev/null
+++ b/src/test/java/org/radishspan/platform/CodecsTest.java
@@ -0,0 +1,196 @@
+package org.radishspan.platform;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import io.vavr.control.Either;
+import org.radishspan.deployment.Address;
+import org.radishspan.deployment.DeploymentConfiguration;
+import org.radishspan.deployment.Route;
+import org.radishspan.deployment.RouteKind;
+import org.radishspan.deployment.RouterEntry;
+import org.radishspan.deployment.TargetEntry;
+import org.radishspan.deployment.VmSettings;
+import org.radishspan.http.Json;
+import org.radishspan.settings.SettingFault;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** What stands on the platform's wire, decoded. */
+public class CodecsTest {
+
+    private static JsonNode json(String text) {
+        return Json.parseObject(text.replace('\'', '"').getBytes(UTF_8)).orElseThrow();
+    }
+
+    /** The settings of a process. */
+    public static class Settings {
+        private static final String TEXT = """
+                {'node_name': 'front-1', 'ip': '10.1.0.19', 'zone': 'a', 'zones': {'a': 'r', 'b': 'r'},
+                 'bind': {'front': '10.1.0.19:8740', 'ready': '10.1.0.19:8749'}, 'port_range': [7200, 7215],
+                 'limits': {'memory_mb': 430, 'max_fds': 4200}, 'unknown': {'x': 1},
+                 'bounds': {'grace_s': 8, 'drain_ms': 2000, 'contact_ms': 3000, 'retry_ratio': 0.2,
+                            'retry_window_s': 10, 'retry_slack': 52},
+                 'platform': {'address': '10.200.1.7:8742', 'form': 'objects', 'writes_per_s': 400,
+                              'reads_per_s': 2000, 'value_bytes': 1048576}}
+                """;
+
+        private static Either<List<SettingFault>, VmSettings> read(String text) {
+            return VmSettingsReader.read(text.replace('\'', '"').getBytes(UTF_8));
+        }
+
+        @Test
+        public void areReadIntoRecords() {
+            VmSettings settings = read(TEXT).get();
+            assertEquals(settings.vm(), "front-1");
+            assertEquals(settings.callerAddress(), new Address("10.1.0.19", 8740));
+            assertEquals(settings.peerPorts().get(0).intValue(), 7200);
+            assertEquals(settings.bounds().stopGraceMillis(), 8_000);
+            assertEquals(settings.bounds().retrySlack(), 52);
+            assertEquals(settings.store().fleetWritesPerSecond(), 400);
+        }
+
+        @Test
+        public void everyFaultIsNamedWithItsKey() {
+            String faults = read(TEXT.replace("10.200.1.7:8742", "nowhere").replace("'zone': 'a',", ""))
+                    .getLeft()
+                    .toString();
+            assertTrue(faults.contains("zone must be a text"), faults);
+            assertTrue(faults.contains("platform.address must be IP:PORT, not nowhere"), faults);
+        }
+
+        @Test
+        public void anotherFormOfStoreIsRefused() {
+            String faults = read(TEXT.replace("'objects'", "'log'")).getLeft().toString();
+            assertTrue(faults.contains("platform.form must be objects, not log"), faults);
+        }
+
+        @Test
+        public void anythingElseThanAnObjectIsRefused() {
+            assertTrue(read("[1]").isLeft());
+            assertTrue(read("{").isLeft());
+        }
+    }
+
+    /** The operators' configuration. */
+    public static class Configurations {
+        private static final String TEXT = """
+                {'version': 7, 'routes': [
+                  {'name': 'r1', 'host': 'h', 'path_prefix': '/a/', 'kind': 'streaming', 'timeout_ms': 15000,
+                   'target_latency_ms': 500, 'priority': 0, 'service': 's', 'max_attempts': 2, 'anonymous': false,
+                   'session_affinity': true, 'stream_resume': true, 'gap_aim_ms': 400},
+                  {'name': 'r2', 'host': 'h', 'path_prefix': '/a/b/', 'kind': 'unsafe', 'timeout_ms': 800,
+                   'split': [{'service': 's', 'weight': 90}, {'service': 't', 'weight': 10}]},
+                  {'name': 'r3', 'host': 'h', 'path_prefix': '/c/', 'kind': 'odd', 'timeout_ms': 800, 'service': 's'}],
+                 'services': [{'name': 's', 'max_conns': 360, 'engine': {'stride': 3}}, {'name': 't', 'max_conns': 96}],
+                 'limits': {'max_header_bytes': 100, 'max_body_bytes': 200, 'header_timeout_ms': 300,
+                            'idle_timeout_ms': 400},
+                 'tenants': [{'name': 'w', 'api_keys': ['k1', 'k2'], 'priority': 1, 'prepaid': 2796385}]}
+                """;
+
+        private static DeploymentConfiguration decoded() {
+            return ConfigurationCodec.decode(json(TEXT)).orElseThrow();
+        }
+
+        @Test
+        public void theLongestPrefixOfTheHostWins() {
+            DeploymentConfiguration configuration = decoded();
+            assertEquals(configuration.route("h", "/a/x").orElseThrow().name(), "r1");
+            assertEquals(configuration.route("h", "/a/b/x").orElseThrow().name(), "r2");
+            assertTrue(configuration.route("h", "/a").isEmpty());
+            assertTrue(configuration.route("other", "/a/x").isEmpty());
+        }
+
+        @Test
+        public void whatMayBeRepeatedFollowsFromTheKind() {
+            Route stream = decoded().route("h", "/a/x").orElseThrow();
+            assertEquals(stream.kind(), RouteKind.STREAM);
+            assertTrue(stream.repeatable());
+            assertFalse(decoded().route("h", "/a/b/x").orElseThrow().repeatable());
+        }
+
+        @Test
+        public void weightsDecideTheService() {
+            Route split = decoded().route("h", "/a/b/x").orElseThrow();
+            assertEquals(split.serviceFor(0.0), "s");
+            assertEquals(split.serviceFor(0.89), "s");
+            assertEquals(split.serviceFor(0.91), "t");
+        }
+
+        @Test
+        public void anUnreadableRouteIsLeftOutAndTheOthersHold() {
+            assertEquals(decoded().routeCount(), 2);
+        }
+
+        @Test
+        public void everyKeyLeadsToItsWorkspace() {
+            assertEquals(decoded().workspaceOf("k2").orElseThrow().name(), "w");
+            assertEquals(
+                    decoded().workspaceOf("k1").orElseThrow().prepaidTokens().getAsLong(), 2_796_385);
+            assertTrue(decoded().workspaceOf("k3").isEmpty());
+        }
+
+        @Test
+        public void servicesThatRunModelsTellTheTokensOfAnEvent() {
+            assertEquals(decoded().service("s").orElseThrow().tokensPerEvent(), 3);
+            assertEquals(decoded().service("t").orElseThrow().tokensPerEvent(), 0);
+        }
+
+        @Test
+        public void anObjectWithoutAVersionIsNoConfiguration() {
+            assertTrue(ConfigurationCodec.decode(json("{'routes': []}")).isEmpty());
+            assertTrue(ConfigurationCodec.decode(MissingNode.getInstance()).isEmpty());
+        }
+    }
+
+    /** What targets say of themselves. */
+    public static class Targets {
+        private static final String TEXT =
+                "{'service':'s','address':'10.128.0.9:8080','zone':'a','slots':64,'state':'ready','sequence':4}";
+
+        @Test
+        public void areReadIntoEntries() {
+            TargetEntry entry = TargetCodec.decode(json(TEXT)).orElseThrow();
+            assertEquals(entry.address(), new Address("10.128.0.9", 8080));
+            assertFalse(entry.draining());
+            assertTrue(TargetCodec.decode(json(TEXT.replace("ready", "draining")))
+                    .orElseThrow()
+                    .draining());
+        }
+
+        @DataProvider
+        public Object[][] broken() {
+            return new Object[][] {
+                {"{}"},
+                {TEXT.replace("'ready'", "'busy'")},
+                {TEXT.replace("'ready'", "3")},
+                {TEXT.replace("10.128.0.9:8080", "10.128.0.9")},
+                {TEXT.replace("'slots':64,", "")},
+                {TEXT.replace("64", "'many'")},
+                {TEXT.replace("'service':'s'", "'service':null")}
+            };
+        }
+
+        @Test(dataProvider = "broken")
+        public void ofAnotherWriterNameNoTarget(String text) {
+            assertEquals(TargetCodec.decode(json(text)), Optional.empty());
+        }
+    }
+
+    /** What routers say of themselves. */
+    public static class Routers {
+        @Test
+        public void comeBackAsTheyWereWritten() {
+            RouterEntry entry = new RouterEntry("vm", "vm-1", new Address("10.0.0.1", 7200), "a");
+            assertEquals(RouterCodec.decode(RouterCodec.encode(entry)), Optional.of(entry));
+            assertTrue(RouterCodec.decode(json("{'vm': 'x'}")).isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/radishspan/platform/WireNamesTest.java
@@ -0,0 +1,62 @@
+package org.radishspan.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import org.testng.annotations.Test;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Names of the platform's wire stand in the adapter only. */
+public class WireNamesTest {
+    private static final Path SOURCES = Path.of("src", "main", "java", "org", "radishspan");
+
+    /** Names that mean nothing else in this project. */
+    private static final Pattern NAMES = Pattern.compile(
+            "X-(Attempt-Id|Deadline-Ms|Prompt-Prefix|Server-Stamp|Tenant|Expect-Instance|Server-Load|Not-Executed"
+                    + "|Instance-Id|Model|Token-Count|Request-Urgency|Weight-Versions|Expect-Version|Pin-Ms|Hold"
+                    + "|Length-Hint|Kv-Backup|Credential)|/api/(objects|readyz|report)|RADISHSPAN_NODE_FILE"
+                    + "|\"(path_prefix|target_latency_ms|max_attempts|session_affinity|stream_resume|gap_aim_ms"
+                    + "|api_keys|prepaid|node_name|port_range|seed_addrs|current_rev|has_more|after_rev|wait_ms"
+                    + "|cold_left_ms|config/main|servers)\"");
+
+    private static List<String> offences(Path file) {
+        List<String> found = new ArrayList<>();
+        try {
+            Matcher matcher = NAMES.matcher(Files.readString(file, UTF_8));
+            while (matcher.find()) {
+                found.add(file + ": " + matcher.group());
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot read " + file, e);
+        }
+        return found;
+    }
+
+    private static List<String> offences(boolean inAdapter) throws IOException {
+        try (Stream<Path> files = Files.walk(SOURCES)) {
+            return files.filter(file -> file.toString().endsWith(".java"))
+                    .filter(file -> file.startsWith(SOURCES.resolve("platform")) == inAdapter)
+                    .flatMap(file -> offences(file).stream())
+                    .toList();
+        }
+    }
+
+    @Test
+    public void standInTheAdapterOnly() throws IOException {
+        assertEquals(offences(false), List.of());
+    }
+
+    @Test
+    public void areFoundWhereTheyDoStand() throws IOException {
+        assertTrue(offences(true).size() > 10, "the pattern finds the adapter's own names");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/radishspan/routing/PlacementTest.java
@@ -0,0 +1,121 @@
+package org.radishspan.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.radishspan.deployment.Address;
+import org.radishspan.deployment.TargetEntry;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+
+/** Where requests are sent. */
+public class PlacementTest {
+    private static final int TARGETS = 13;
+
+    private TargetTable table;
+    private Placement placement;
+
+    @BeforeMethod
+    public void createTargets() {
+        table = new TargetTable();
+        placement = new Placement(RandomSource.XO_SHI_RO_256_PP.create(1));
+        for (int i = 0; i < TARGETS; i++) {
+            Address address = new Address("10.0.0." + i, 80);
+            table.register(new TargetEntry("t" + i, "llm", address, i % 2 == 0 ? "a" : "b", 64, false, 1));
+        }
+    }
+
+    private List<Target> candidates() {
+        return table.candidates("llm", Set.of(), 0);
+    }
+
+    private static Placement.PromptShape prompt(String subject, long ownTokens) {
+        return new Placement.PromptShape(
+                subject, List.of("system", subject, "own-" + ownTokens), List.of(2_500L, 3_800L, ownTokens));
+    }
+
+    private Target choose(Placement.PromptShape prompt) {
+        return placement.choose(candidates(), prompt).orElseThrow().target();
+    }
+
+    @Test
+    public void promptsOfOneSubjectMeetAtOneTargetWhateverTheRouter() {
+        Target first = choose(prompt("subject", 700));
+        Placement other = new Placement(RandomSource.XO_SHI_RO_256_PP.create(2));
+        assertSame(
+                other.choose(candidates(), prompt("subject", 900)).orElseThrow().target(), first);
+    }
+
+    @Test
+    public void subjectsSpreadOverTheTargets() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 1_300; i++) {
+            counts.merge(choose(prompt("subject-" + i, 700)).name(), 1, Integer::sum);
+        }
+        assertEquals(counts.size(), TARGETS);
+        assertTrue(counts.values().stream().allMatch(count -> count < 200), counts.toString());
+    }
+
+    @Test
+    public void aTargetWithMuchToReadLosesToTheNextOne() {
+        Target home = choose(prompt("subject", 700));
+        table.addPendingPrompt(home, 20_000);
+        assertNotEquals(choose(prompt("subject", 700)).name(), home.name());
+        table.removePendingPrompt(home, 20_000);
+        assertSame(choose(prompt("subject", 700)), home);
+    }
+
+    @Test
+    public void whatATargetHasReadCountsForIt() {
+        Target home = choose(prompt("subject", 700));
+        table.addPendingPrompt(home, 20_000);
+        Target second = choose(prompt("subject", 700));
+        second.cachedParts().onRead(List.of("system", "subject", "own-700"));
+        Placement.Choice choice =
+                placement.choose(candidates(), prompt("subject", 700)).orElseThrow();
+        assertSame(choice.target(), second);
+        assertEquals(choice.uncachedTokens(), 0);
+    }
+
+    @Test
+    public void aRequestWithoutAPromptGoesToTheLeastLoadedNearTarget() {
+        for (Target target : table.rows()) {
+            table.onLoad(target, target.name().equals("t4") ? 0 : 3, 0);
+        }
+        assertEquals(placement.choose(candidates(), "a").orElseThrow().target().name(), "t4");
+    }
+
+    @Test
+    public void drainingAndForgottenTargetsGetNothing() {
+        table.register(new TargetEntry("t0", "llm", new Address("10.0.0.0", 80), "a", 64, true, 1));
+        table.deregister("t1");
+        assertEquals(candidates().size(), TARGETS - 2);
+    }
+
+    @Test
+    public void anotherIncarnationStartsWithAnEmptyRow() {
+        Target before = table.get("t2");
+        table.addPendingPrompt(before, 5_000);
+        Target after = table.register(new TargetEntry("t2", "llm", new Address("10.0.0.2", 80), "a", 64, false, 2));
+        assertEquals(after.pendingPromptTokens(), 0);
+    }
+
+    @Test
+    public void unreachableTargetsAreLeftAloneForGrowingTimes() {
+        Target target = table.get("t3");
+        table.onUnreachable(target, 0);
+        assertEquals(table.candidates("llm", Set.of(), 299).size(), TARGETS - 1);
+        assertEquals(table.candidates("llm", Set.of(), 300).size(), TARGETS);
+        table.onUnreachable(target, 300);
+        assertEquals(table.candidates("llm", Set.of(), 800).size(), TARGETS - 1);
+        assertEquals(table.candidates("llm", Set.of(), 900).size(), TARGETS);
+    }
+}
