--- a/src/main/java/org/radishspan/deployment/TargetDirectory.java
+++ b/src/main/java/org/radishspan/deployment/TargetDirectory.java
@@ -2,9 +2,11 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongPredicate;
 
 import org.radishspan.log.EventLog;
+import org.radishspan.routing.Target;
 import org.radishspan.routing.TargetTable;
 import org.radishspan.store.KindWatch;
 
@@ -21,25 +23,29 @@
     private final TargetTable targets;
     private final LongPredicate storeFailedWithin;
     private final EventLog log;
+    private final Consumer<Target> onEnded;
     private final Map<String, Boolean> lapsed = new HashMap<>();
 
     /**
      * Creates the directory.
      *
      * @param storeFailedWithin tells whether the store failed within the given milliseconds
+     * @param onEnded hears of targets whose place another incarnation has taken
      */
-    public TargetDirectory(TargetTable targets, LongPredicate storeFailedWithin, EventLog log) {
+    public TargetDirectory(
+            TargetTable targets, LongPredicate storeFailedWithin, EventLog log, Consumer<Target> onEnded) {
         this.targets = targets;
         this.storeFailedWithin = storeFailedWithin;
         this.log = log;
+        this.onEnded = onEnded;
     }
 
     @Override
     public void onPresent(String name, TargetEntry entry) {
         lapsed.remove(name);
-        var known = targets.get(name);
+        Target known = targets.get(name);
         boolean drainingBefore = known != null && known.leaving();
-        targets.register(new TargetEntry(
+        Target current = targets.register(new TargetEntry(
                 name,
                 entry.service(),
                 entry.address(),
@@ -47,6 +53,9 @@
                 entry.slots(),
                 entry.draining(),
                 entry.startedAtUnixMillis()));
+        if (known != null && known.startedAtUnixMillis() != current.startedAtUnixMillis()) {
+            onEnded.accept(known);
+        }
         if (known == null || drainingBefore != entry.draining()) {
             log.belief(entry.draining() ? "target_draining" : "target_ready")
                     .with("target", name)
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -44,6 +44,7 @@
 import org.radishspan.relay.RelaySystem;
 import org.radishspan.relay.RetryBudget;
 import org.radishspan.relay.TargetProtocol;
+import org.radishspan.request.StrikeTable;
 import org.radishspan.routing.TargetTable;
 import org.radishspan.routing.TargetTable.ListedVm;
 import org.radishspan.store.CallBudget;
@@ -109,6 +110,9 @@
     /** A router without shares says that it is ready after this time, as the ledger may be away for long. */
     private static final long SHARES_WAIT_MILLIS = 3_000;
 
+    /** A request may crash three targets; later repeats of it reach none. */
+    private static final int CRASHES_BEFORE_QUARANTINE = 3;
+
     private static final long ANNOUNCE_RETRY_MILLIS = 500;
 
     private final Ports ports;
@@ -126,6 +130,7 @@
     private final PeerSystem peers;
     private final LedgerGateway gateway;
     private final ShareSystem shares;
+    private final StrikeTable strikes;
     private final RelaySystem relay;
     private boolean earlierClosed;
     private boolean announced;
@@ -142,7 +147,8 @@
         this.self = self;
         this.configuration = new ConfigurationInForce(ConfigurationCodec.NAME, ports.log(), this::onConfiguration);
         this.configurationWatch = watch(ConfigurationCodec.KIND, ConfigurationCodec::decode, configuration, ports);
-        this.targetDirectory = new TargetDirectory(targets, this::targetStoreFailedWithin, ports.log());
+        this.targetDirectory = new TargetDirectory(
+                targets, this::targetStoreFailedWithin, ports.log(), target -> relay().onTargetEnded(target));
         this.targetWatch = watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, ports);
         this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, new RouterListener(), ports);
         this.objectPorts = new SharedObject.Ports(
@@ -170,6 +176,7 @@
                 (holder, budget, settlement, accepted) -> accepted.accept(false),
                 count -> List.of());
         shares.useTuning(SHARE_TUNING, this::routerCount);
+        this.strikes = new StrikeTable(peers::announceStrike, CRASHES_BEFORE_QUARANTINE);
         VmSettings.Bounds bounds = settings.bounds();
         this.relay = new RelaySystem(
                 new RelaySystem.Ports(
@@ -179,6 +186,7 @@
                         shares,
                         configuration::current,
                         this::routerCount,
+                        strikes,
                         ports.random(),
                         ports.clockMillis(),
                         ports.log(),
@@ -200,6 +208,10 @@
         return Math.max(1, routers.size());
     }
 
+    private boolean storeAway() {
+        return targetWatch.failedWithin(0) || ledgers.all().stream().anyMatch(SharedObject::unanswered);
+    }
+
     private int requestsInProgress() {
         return relay.inProgress();
     }
@@ -327,6 +339,7 @@
         targetDirectory.tick();
         routerWatch.tick(nowMillis);
         announce(nowMillis);
+        peers.noteStoreAway(storeAway());
         peers.tick(nowMillis);
         relay.tick();
         if (draining && relay.inProgress() == 0) {
@@ -413,7 +426,7 @@
 
         @Override
         public void onStrike(String fingerprint, String target) {
-            // Strikes are not exchanged on this platform yet.
+            strikes.onNotice(fingerprint, target, ports.clockMillis().getAsLong());
         }
 
         @Override
--- a/src/main/java/org/radishspan/peer/Peer.java
+++ b/src/main/java/org/radishspan/peer/Peer.java
@@ -12,6 +12,7 @@
     String incarnation = "";
     boolean listed = true;
     boolean draining;
+    boolean storeAway;
     long lastHeardMillis;
     long unlistedAtMillis;
     long configRevision;
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -101,6 +101,14 @@
         draining = true;
     }
 
+    /** Says whether this router can reach the store; peers are told at once when that changes. */
+    public void noteStoreAway(boolean away) {
+        if (table.selfStoreAway() != away) {
+            table.setSelfStoreAway(away);
+            nextReportAtMillis = nowMillis;
+        }
+    }
+
     /** Takes over the routers of the platform's list. */
     public void replace(List<ListedVm> routers) {
         table.noteListSeen();
@@ -200,6 +208,7 @@
         peer.configRevision = load.getConfigRevision();
         peer.requestsInFlight = load.getRequestsInFlight();
         peer.draining = load.getDraining();
+        peer.storeAway = load.getStoreAway();
         handlers.onRevision(load.getConfigRevision());
     }
 
@@ -313,7 +322,8 @@
                         .setConfigRevision(configRevision.getAsLong())
                         .setRequestsInFlight(requestsInFlight.getAsInt())
                         .setDraining(draining)
-                        .setIncarnation(self.incarnation()))
+                        .setIncarnation(self.incarnation())
+                        .setStoreAway(table.selfStoreAway()))
                 .build();
         for (Peer peer : new ArrayList<>(table.rows())) {
             send(peer, report);
--- a/src/main/java/org/radishspan/peer/PeerTable.java
+++ b/src/main/java/org/radishspan/peer/PeerTable.java
@@ -23,6 +23,7 @@
     private final PeerSystem.Self self;
     private final Object2ObjectHashMap<String, Peer> rows = new Object2ObjectHashMap<>();
     private boolean listSeen;
+    private boolean selfStoreAway;
     private long nowMillis;
 
     PeerTable(PeerSystem.Self self) {
@@ -86,13 +87,24 @@
         return candidates.stream().limit(count).map(Peer::incarnation).toList();
     }
 
-    /** Returns the VM that ranks first for a ledger among the live ones; empty text if it is this one. */
+    boolean selfStoreAway() {
+        return selfStoreAway;
+    }
+
+    void setSelfStoreAway(boolean away) {
+        selfStoreAway = away;
+    }
+
+    /**
+     * Returns the VM that ranks first for a ledger among the live ones that reach the store; empty text if it is this one, or
+     * if none reaches it.
+     */
     public String combinerOf(int partition) {
         String best = "";
-        int bestRank = rank(self.vm() + "/" + partition);
+        int bestRank = selfStoreAway ? 0 : rank(self.vm() + "/" + partition);
         for (Peer peer : rows.values()) {
             int peerRank = rank(peer.vm + "/" + partition);
-            if (alive(peer) && Integer.compareUnsigned(peerRank, bestRank) > 0) {
+            if (alive(peer) && !peer.storeAway && Integer.compareUnsigned(peerRank, bestRank) > 0) {
                 best = peer.vm;
                 bestRank = peerRank;
             }
--- a/src/main/java/org/radishspan/platform/HttpCallerExchange.java
+++ b/src/main/java/org/radishspan/platform/HttpCallerExchange.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 
+import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.http.ErrorAnswer;
 import org.radishspan.http.HttpCall;
@@ -15,6 +16,7 @@
 
 /** The way back to a caller over HTTP. */
 public final class HttpCallerExchange implements CallerExchange {
+    private static final int UNAVAILABLE = 503;
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final HttpCall call;
@@ -39,7 +41,14 @@
             headers.add(Map.entry(HeaderNames.RETRY_AFTER, seconds));
         }
         byte[] body = ErrorAnswer.json(failure).toString().getBytes(UTF_8);
-        call.respond(failure.kind().httpStatus(), headers, body);
+        call.respond(status(failure), headers, body);
+    }
+
+    private static int status(Failure failure) {
+        // On this platform a status from 400 to 499 says that the request is wrong whatever the router has seen of it.
+        return failure.kind() == ErrorKind.QUARANTINED
+                ? UNAVAILABLE
+                : failure.kind().httpStatus();
     }
 
     @Override
--- a/src/main/java/org/radishspan/relay/CallerRequest.java
+++ b/src/main/java/org/radishspan/relay/CallerRequest.java
@@ -1,10 +1,15 @@
 package org.radishspan.relay;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.apache.commons.codec.digest.MurmurHash3;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 /**
  * A request of a caller as it came in.
  *
@@ -37,4 +42,13 @@
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
     }
+
+    /** Returns a hash that is the same for the same request of the same caller. */
+    public String fingerprint() {
+        byte[] head = (callerKey.orElse("") + " " + method + " " + uri + "\n").getBytes(UTF_8);
+        byte[] all = Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        long[] hash = MurmurHash3.hash128x64(all);
+        return Long.toHexString(hash[0]) + Long.toHexString(hash[1]);
+    }
 }
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -22,6 +22,7 @@
 import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.log.EventLog;
+import org.radishspan.request.StrikeTable;
 import org.radishspan.routing.Placement;
 import org.radishspan.routing.Target;
 import org.radishspan.routing.TargetTable;
@@ -43,6 +44,7 @@
      * @param shares the shares of budgets
      * @param configuration the configuration in force; empty until one is known
      * @param liveRouters how many routers work beside this one, itself included
+     * @param strikes requests that crashed targets
      * @param random for choices
      * @param clockMillis a clock that never steps
      * @param log the structured log
@@ -55,6 +57,7 @@
             ShareSystem shares,
             Supplier<Optional<DeploymentConfiguration>> configuration,
             IntSupplier liveRouters,
+            StrikeTable strikes,
             UniformRandomProvider random,
             LongSupplier clockMillis,
             EventLog log,
@@ -100,6 +103,7 @@
     private final String failureDomain;
     private final RetryBudget retries;
     private final Placement placement;
+    private final CrashWatch crashes;
     private final Set<RelayRequest> rows = new LinkedHashSet<>();
     private final Attempt.Outcomes outcomes = new AttemptOutcomes();
     private boolean refusing;
@@ -110,6 +114,7 @@
         this.failureDomain = failureDomain;
         this.retries = new RetryBudget(retryBound);
         this.placement = new Placement(ports.random());
+        this.crashes = new CrashWatch(ports.strikes());
     }
 
     /** Returns the requests in progress. */
@@ -117,6 +122,11 @@
         return rows.size();
     }
 
+    /** Notes that a target has ended, or that another incarnation has taken its place. */
+    public void onTargetEnded(Target target) {
+        crashes.onTargetEnded(target, now());
+    }
+
     /** Refuses new requests from now on. */
     public void refuseNew() {
         refusing = true;
@@ -150,6 +160,11 @@
             refuse(request, exchange, Failure.notRun(ErrorKind.INVALID_REQUEST, "the request has no id"));
             return;
         }
+        Optional<Failure> quarantined = crashes.refusal(request.fingerprint(), now());
+        if (quarantined.isPresent()) {
+            refuse(request, exchange, quarantined.get());
+            return;
+        }
         admit(row(request, route.get(), workspace, configuration.get(), exchange));
     }
 
@@ -624,11 +639,13 @@
             leaveTarget(attempt, trouble == Attempt.Trouble.REFUSED);
             if (!reachable) {
                 ports.targets().onUnreachable(attempt.target, now());
+                crashes.onTargetEnded(attempt.target, now());
             }
             if (trouble != Attempt.Trouble.NOT_SENT) {
                 row.everSent = true;
             }
             if (trouble == Attempt.Trouble.BROKEN) {
+                crashes.onConnectionLost(attempt.target, row.request.fingerprint(), now());
                 row.targetsThatMayHaveRun++;
                 repeat(row, reason);
                 return;
--- a/src/main/java/org/radishspan/request/RequestSystem.java
+++ b/src/main/java/org/radishspan/request/RequestSystem.java
@@ -74,7 +74,7 @@
     /** Creates the system. */
     public RequestSystem(Ports ports, Limits limits) {
         this.ports = ports;
-        this.strikes = new StrikeTable(ports.strikeNotice());
+        this.strikes = new StrikeTable(ports.strikeNotice(), StrikeTable.USUAL_TARGETS);
         this.limits = limits;
         this.finisher = new RowFinisher();
         this.claims = new ClaimSystem(
--- a/src/main/java/org/radishspan/request/StrikeTable.java
+++ b/src/main/java/org/radishspan/request/StrikeTable.java
@@ -39,7 +39,9 @@
      */
     public record Quarantined(String fingerprint, List<String> targets, long untilMillis) {}
 
-    private static final int TARGETS_BEFORE_QUARANTINE = 2;
+    /** How many targets a request of the product's own interface may break. */
+    static final int USUAL_TARGETS = 2;
+
     private static final long QUARANTINE_MILLIS = 300_000;
     private static final int MAX_ROWS = 10_000;
 
@@ -50,13 +52,20 @@
 
     private final Map<String, Row> rows = new LinkedHashMap<>();
     private final Notice notice;
+    private final int targetsBeforeQuarantine;
 
-    StrikeTable(Notice notice) {
+    /**
+     * Creates an empty table.
+     *
+     * @param targetsBeforeQuarantine a request that broke so many targets is refused
+     */
+    public StrikeTable(Notice notice, int targetsBeforeQuarantine) {
         this.notice = notice;
+        this.targetsBeforeQuarantine = targetsBeforeQuarantine;
     }
 
     /** Notes that a request broke a target, and tells the other routers. */
-    void strike(String fingerprint, String target, long nowMillis) {
+    public void strike(String fingerprint, String target, long nowMillis) {
         add(fingerprint, target, nowMillis);
         notice.send(fingerprint, target);
     }
@@ -74,7 +83,7 @@
         Row row = rows.computeIfAbsent(fingerprint, ignored -> new Row());
         row.targets.add(target);
         row.untilMillis = nowMillis + QUARANTINE_MILLIS;
-        if (row.targets.size() == TARGETS_BEFORE_QUARANTINE) {
+        if (row.targets.size() == targetsBeforeQuarantine) {
             LOGGER.atWarning().log("request %s broke %s and is refused for a while", fingerprint, row.targets);
         }
         if (rows.size() > MAX_ROWS) {
@@ -88,7 +97,7 @@
     }
 
     /** Clears a request that was answered whole. */
-    void clear(String fingerprint) {
+    public void clear(String fingerprint) {
         if (rows.remove(fingerprint) != null) {
             notice.send(fingerprint, "");
         }
@@ -103,11 +112,11 @@
             rows.remove(fingerprint);
             return 0;
         }
-        return row.targets.size() >= TARGETS_BEFORE_QUARANTINE ? row.untilMillis - nowMillis : 0;
+        return row.targets.size() >= targetsBeforeQuarantine ? row.untilMillis - nowMillis : 0;
     }
 
     /** Returns the refusal of a request in quarantine; empty if it may run. */
-    Optional<Failure> refusal(String fingerprint, Failure.Ran ran, long nowMillis) {
+    public Optional<Failure> refusal(String fingerprint, Failure.Ran ran, long nowMillis) {
         long millis = refusedMillis(fingerprint, nowMillis);
         if (millis == 0) {
             return Optional.empty();
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -64,6 +64,11 @@
         return inFlight;
     }
 
+    /** Returns when this incarnation of the target started; 0 if it did not say. */
+    public long startedAtUnixMillis() {
+        return startedAtUnixMillis;
+    }
+
     /** Returns how many requests the target works on at once; 0 if it did not say. */
     public int slots() {
         return slots;
--- a/src/main/java/org/radishspan/store/SharedObject.java
+++ b/src/main/java/org/radishspan/store/SharedObject.java
@@ -138,7 +138,9 @@
     }
 
     private static final long FIRST_BACKOFF_MILLIS = 10;
-    private static final long MAX_BACKOFF_MILLIS = 2_000;
+
+    /** Short against outages, so that a ledger is back soon after the store; rates bound the calls of all routers. */
+    private static final long MAX_BACKOFF_MILLIS = 500;
 
     private final String key;
     private final Codec<S> codec;
@@ -156,6 +158,7 @@
     private long submitCount;
     private long notBeforeMillis;
     private long backoffMillis;
+    private boolean unanswered;
     private long nowMillis;
 
     /** Creates the object; nothing is read before the first mutation or {@link #refresh}. */
@@ -185,6 +188,11 @@
         return version;
     }
 
+    /** Returns whether the store left the last call without an answer. */
+    public boolean unanswered() {
+        return unanswered;
+    }
+
     /** Returns whether nothing is queued or on its way. */
     public boolean idle() {
         return !busy && queue.isEmpty();
@@ -236,6 +244,7 @@
 
     private void onRead(Either<Failure, StoredObject> reply, long submittedBefore) {
         busy = false;
+        unanswered = reply.isLeft();
         if (reply.isLeft()) {
             backOff();
             return;
@@ -306,6 +315,7 @@
 
     private void onWritten(Either<Failure, Long> reply, List<Ticket> batch, List<Either<Failure, S>> refusals, S next) {
         busy = false;
+        unanswered = reply.isLeft() && reply.getLeft().kind() != ErrorKind.CONFLICT;
         if (reply.isLeft()) {
             onWriteFailed(reply.getLeft(), batch);
             return;
--- a/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
+++ b/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
@@ -15,7 +15,7 @@
         private final TargetTable table = new TargetTable();
         private boolean storeFailedLately;
         private final TargetDirectory directory =
-                new TargetDirectory(table, millis -> storeFailedLately, EventLog.silent());
+                new TargetDirectory(table, millis -> storeFailedLately, EventLog.silent(), ended -> {});
 
         private void present(boolean draining) {
             directory.onPresent("t", new TargetEntry("", "s", new Address("10.0.0.1", 80), "a", 6, draining, 1));
--- a/src/test/java/org/radishspan/relay/RelayHarness.java
+++ b/src/test/java/org/radishspan/relay/RelayHarness.java
@@ -33,6 +33,7 @@
 import org.radishspan.platform.HttpTargetProtocol;
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
+import org.radishspan.request.StrikeTable;
 import org.radishspan.routing.TargetTable;
 import org.radishspan.store.CallBudget;
 import org.radishspan.store.SharedObject;
@@ -238,6 +239,7 @@
                         shares,
                         () -> configuration,
                         () -> 1,
+                        new StrikeTable((fingerprint, target) -> {}, 3),
                         random,
                         () -> nowMillis,
                         EventLog.silent(),
@@ -291,6 +293,11 @@
                 List.of(new Workspace("w", List.of(KEY), OptionalInt.empty(), prepaidTokens)));
     }
 
+    void endTarget(String name) {
+        relay.onTargetEnded(Objects.requireNonNull(targets.get(name), name));
+        targets.deregister(name);
+    }
+
     void limitTokens() {
         configuration = Optional.of(configuration(OptionalLong.of(1_000_000)));
     }
@@ -322,6 +329,11 @@
     }
 
     Caller call(String route, Optional<String> key) {
+        return call(route, key, requestCount + 1);
+    }
+
+    /** Sends a request whose body says which one it is; a repeated one has the same body under another id. */
+    Caller call(String route, Optional<String> key, int bodyNumber) {
         requestCount++;
         Caller caller = new Caller();
         Optional<Prompt> prompt = route.equals("stream") || route.equals("once")
@@ -334,7 +346,7 @@
                         "/" + route + "/x?y=1",
                         "h",
                         List.of(Map.entry("Host", "h")),
-                        new byte[0],
+                        Integer.toString(bodyNumber).getBytes(UTF_8),
                         key,
                         OptionalLong.of(1_500),
                         prompt,
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -321,6 +321,43 @@
         }
     }
 
+    /** Requests that crash targets. */
+    public static class Crashing {
+        private static final int BODY = 99;
+
+        private static void crash(RelayHarness harness) {
+            harness.call("once", Optional.of(RelayHarness.KEY), BODY);
+            RelayHarness.Sent crashed = harness.last();
+            crashed.breakOff();
+            harness.endTarget(crashed.target());
+        }
+
+        @Test
+        public void areRefusedAfterTheThirdTarget() {
+            RelayHarness harness = new RelayHarness(6);
+            for (int i = 0; i < 3; i++) {
+                crash(harness);
+            }
+            int sends = harness.sent.size();
+            Failure failure =
+                    harness.call("once", Optional.of(RelayHarness.KEY), BODY).failure();
+            assertEquals(failure.kind(), ErrorKind.QUARANTINED);
+            assertEquals(failure.ran(), Failure.Ran.NO);
+            assertEquals(harness.sent.size(), sends);
+            assertTrue(harness.call("once").open(), "another request runs");
+        }
+
+        @Test
+        public void areNotTakenForThoseThatOnlyLostTheirAnswers() {
+            RelayHarness harness = new RelayHarness(6);
+            for (int i = 0; i < 8; i++) {
+                RelayHarness.Caller caller = harness.call("once", Optional.of(RelayHarness.KEY), BODY);
+                assertTrue(caller.open());
+                harness.last().breakOff();
+            }
+        }
+    }
+
     /** Callers who leave. */
     public static class Leaving {
         @Test
