Bring the ledger back soon after a cut: connections to silent peers anew, combiner has 900 ms, reserve of 12 s

Change: LedgerGateway takes changes back when a connection is lost, else after 900 ms; silent peers' connections are reset after three reports; the reserve in the ledger is at most 12 s of the fleet's demand.

--- a/src/main/java/org/radishspan/budget/GrantRule.java
+++ b/src/main/java/org/radishspan/budget/GrantRule.java
@@ -5,6 +5,8 @@
 /** Decides how much of an account's free tokens one request of a router may take. */
 @FunctionalInterface
 public interface GrantRule {
+    /** Milliseconds in a second. */
+    long MILLIS_PER_SECOND = 1_000;
 
     /**
      * Returns the tokens to grant, from 0 to {@code freeTokens}.
@@ -36,16 +38,27 @@
     /**
      * Leaves a part of the spendable tokens in the ledger to calls that wait: a request without a minimum, which only fills
      * a share up, gets nothing of it.
+     *
+     * @param reserveFraction the reserve as a part of the spendable tokens
+     * @param reserveMillis the reserve is never more than the fleet's demand of this time; 0 for no such bound
      */
-    static GrantRule keepingReserve(double reserveFraction, GrantRule rule) {
+    static GrantRule keepingReserve(double reserveFraction, long reserveMillis, GrantRule rule) {
         return (freeTokens, account, request) -> {
             long granted = rule.grantTokens(freeTokens, account, request);
             if (request.minimumTokens() > 0) {
                 return granted;
             }
             long spendable = Math.max(0, Accounts.unspentTokens(account) - Accounts.forfeitedTokens(account));
-            long reserve = (long) (spendable * reserveFraction);
+            long reserve =
+                    reserveTokens(spendable, Accounts.demandTokensPerSecond(account), reserveFraction, reserveMillis);
             return Math.min(granted, Math.max(0, freeTokens - reserve));
         };
     }
+
+    /** Returns the part of the spendable tokens that shares which only fill up leave in the ledger. */
+    static long reserveTokens(
+            long spendableTokens, long demandTokensPerSecond, double reserveFraction, long reserveMillis) {
+        long part = (long) (spendableTokens * reserveFraction);
+        return reserveMillis == 0 ? part : Math.min(part, demandTokensPerSecond * reserveMillis / MILLIS_PER_SECOND);
+    }
 }
--- a/src/main/java/org/radishspan/budget/LedgerGateway.java
+++ b/src/main/java/org/radishspan/budget/LedgerGateway.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
@@ -77,7 +78,7 @@
 
     /** Sends what is queued, and takes back what was not answered in time. */
     public void tick(long nowMillis) {
-        takeBack(nowMillis);
+        takeBack(call -> nowMillis >= call.untilMillis());
         outbox.forEach((partition, ops) -> {
             String vm = combiners.combinerOf(partition);
             if (vm.isEmpty()) {
@@ -106,10 +107,15 @@
         combiners.send(vm, call.build());
     }
 
-    private void takeBack(long nowMillis) {
+    /** Takes back what was sent to a router whose connection is lost; it may have committed it, which does no harm. */
+    public void onConnectionLost(String vm) {
+        takeBack(call -> call.vm().equals(vm));
+    }
+
+    private void takeBack(Predicate<SentCall> which) {
         List<SentCall> late = new ArrayList<>();
         sentCalls.values().removeIf(call -> {
-            boolean due = nowMillis >= call.untilMillis();
+            boolean due = which.test(call);
             if (due) {
                 late.add(call);
             }
--- a/src/main/java/org/radishspan/budget/LedgerOps.java
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -19,7 +19,7 @@
 final class LedgerOps {
     private LedgerOps() {}
 
-    static LedgerOp grant(String budget, Ledger.GrantRequest request, double freeFraction, double reserveFraction) {
+    static LedgerOp grant(String budget, Ledger.GrantRequest request, double freeFraction, SharePolicy.Tuning tuning) {
         return LedgerOp.newBuilder()
                 .setBudget(budget)
                 .setGrant(GrantOp.newBuilder()
@@ -32,7 +32,8 @@
                         .setDemandTokensPerSecond(request.demandTokensPerSecond())
                         .addAllHolders(request.holders())
                         .setFreeFraction(freeFraction)
-                        .setReserveFraction(reserveFraction))
+                        .setReserveFraction(tuning.reserveFraction())
+                        .setReserveMillis(tuning.reserveMillis()))
                 .build();
     }
 
@@ -104,7 +105,7 @@
         double fraction = grant.getFreeFraction();
         GrantRule rule = fraction > 0 && fraction <= 1 ? GrantRule.fairPart(fraction) : GrantRule.asAsked();
         double reserve = grant.getReserveFraction();
-        return reserve > 0 && reserve <= 1 ? GrantRule.keepingReserve(reserve, rule) : rule;
+        return reserve > 0 && reserve <= 1 ? GrantRule.keepingReserve(reserve, grant.getReserveMillis(), rule) : rule;
     }
 
     private static Ledger.Settlement settlement(SettleOp op) {
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -34,6 +34,7 @@
      * @param callsHeld how many usual calls a share holds at least
      * @param safetyFactor how many standard deviations of the horizon's demand a share holds beyond the mean
      * @param reserveFraction the part of the spendable tokens that shares leave to calls that wait
+     * @param reserveMillis they leave no more than the fleet's demand of this time; 0 for no such bound
      * @param settleMillis the shortest time between two reports of bills
      * @param noticeMillis the shortest time between two notices that a share is short
      */
@@ -46,10 +47,11 @@
             double callsHeld,
             double safetyFactor,
             double reserveFraction,
+            long reserveMillis,
             long settleMillis,
             long noticeMillis) {
         /** Measures demand slowly, holds nothing before, reports bills at once. */
-        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 1_000);
+        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 0, 1_000);
     }
 
     /** The setting for ordinary days. */
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -294,7 +294,7 @@
         double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
         double own = expectedDemand(share);
         double part = (own + 1) / (share.demandTokensPerSecond + others + 1);
-        long fair = (long) (spendableTokens(share) * policy.heldFraction() * part) - share.reservedTokens;
+        long fair = (long) (heldTokens(share) * part) - share.reservedTokens;
         return Math.max(startTokens(share), Math.max(0, Math.min(wanted, fair)));
     }
 
@@ -303,6 +303,17 @@
         return Math.max(0, share.unspentTokens - share.forfeitedTokens);
     }
 
+    /** Returns what all shares together aim at. */
+    private double heldTokens(Share share) {
+        long spendable = spendableTokens(share);
+        if (tuning.reserveFraction() == 0) {
+            return spendable * policy.heldFraction();
+        }
+        return spendable
+                - GrantRule.reserveTokens(
+                        spendable, share.fleetDemandTokensPerSecond, tuning.reserveFraction(), tuning.reserveMillis());
+    }
+
     /** Returns a router's demand, drawn towards the mean of all routers. */
     private double expectedDemand(Share share) {
         double priorCalls = share.accountSeen ? tuning.priorCalls() : 0;
@@ -397,7 +408,7 @@
         noteAsked();
         ledgers.submit(
                 share.partition,
-                LedgerOps.grant(share.budget, request, policy.freeFraction(), tuning.reserveFraction()),
+                LedgerOps.grant(share.budget, request, policy.freeFraction(), tuning),
                 result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
     }
 
--- a/src/main/java/org/radishspan/front/FrontProcess.java
+++ b/src/main/java/org/radishspan/front/FrontProcess.java
@@ -33,6 +33,7 @@
 import org.radishspan.http.WakingTransport;
 import org.radishspan.log.EventLog;
 import org.radishspan.peer.Peer;
+import org.radishspan.peer.PeerLink;
 import org.radishspan.peer.PeerTransport;
 import org.radishspan.platform.CallerCodec;
 import org.radishspan.platform.HttpCallerExchange;
@@ -109,13 +110,17 @@
                         store,
                         transport,
                         new HttpTargetProtocol(),
-                        this::sendToPeer,
+                        new LatePeerLink(),
                         RandomSource.XO_SHI_RO_256_PP.create(),
                         FrontProcess::nowMillis,
                         log,
                         meters));
         this.peerTransport = new PeerTransport(
                 group, settings.ip(), self.peerAddress().port(), PEER_SECRET, this::hello, this::onPeerMessage);
+        peerTransport.onConnectionLost(vm -> {
+            router.onPeerConnectionLost(vm);
+            wake();
+        });
         log.process("start")
                 .with("vm", settings.vm())
                 .with("incarnation", incarnation)
@@ -166,8 +171,17 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
-    private void sendToPeer(Peer peer, PeerMessage message) {
-        peerTransport.send(peer, message);
+    /** The way to other routers; it exists before the transport that needs the router. */
+    private final class LatePeerLink implements PeerLink {
+        @Override
+        public void send(Peer peer, PeerMessage message) {
+            peerTransport.send(peer, message);
+        }
+
+        @Override
+        public void reset(Peer peer) {
+            peerTransport.reset(peer);
+        }
     }
 
     private PeerMessage hello() {
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -80,17 +80,20 @@
             EventLog log,
             MeterRegistry meters) {}
 
-    /** A share covers the usual cut from the store, 7 to 12 s. */
-    private static final long HORIZON_MILLIS = 10_000;
+    /** A share covers the usual cut from the store, 7 to 8 s, and half a second until it is noticed. */
+    private static final long HORIZON_MILLIS = 8_500;
 
-    /** Before demand is measured all routers together hold this part of a budget: what 10 s of a usual day use. */
+    /** Before demand is measured all routers together hold this part of a budget: what 8 s of a usual day use. */
     private static final double START_FRACTION = 0.25;
 
     /** The rest stays in the ledger, as a loss of all routers at once takes with it what they hold. */
     private static final double HELD_FRACTION = 0.35;
 
-    private static final SharePolicy.Tuning SHARE_TUNING =
-            new SharePolicy.Tuning(0.1, 4, START_FRACTION, 600_000, 0.8, 1, 1, 1 - HELD_FRACTION, 1_000, 200);
+    /** What stays in the ledger serves the fleet until it has recovered from a loss of all routers, 12 s at the users' sites. */
+    private static final long RESERVE_MILLIS = 12_000;
+
+    private static final SharePolicy.Tuning SHARE_TUNING = new SharePolicy.Tuning(
+            0.1, 4, START_FRACTION, 600_000, 0.8, 1, 1.2, 1 - HELD_FRACTION, RESERVE_MILLIS, 1_000, 200);
 
     private static final SharePolicy SHARE_POLICY =
             new SharePolicy(HORIZON_MILLIS, 0.5, HELD_FRACTION, 256, 800, 100, 500, 0);
@@ -98,8 +101,8 @@
     /** The shortest time between two writes of a router to one ledger; the fleet's write rate leaves room for it. */
     private static final long COMMIT_GAP_MILLIS = 100;
 
-    /** A router that commits for others answers within a commit gap and a few milliseconds of the store. */
-    private static final long COMBINER_ANSWER_MILLIS = 300;
+    /** A router that commits for others answers after a read, a write and a commit gap; a slow store takes 150 ms a call. */
+    private static final long COMBINER_ANSWER_MILLIS = 900;
 
     /** Ledgers of a deployment with tens of workspaces fit into one object. */
     private static final int LEDGERS = 1;
@@ -291,6 +294,12 @@
         return peers;
     }
 
+    /** Notes that a connection to another router is lost; what it was to commit is committed here. */
+    public void onPeerConnectionLost(String vm) {
+        peers.table().onUnanswered(vm);
+        gateway.onConnectionLost(vm);
+    }
+
     /** Returns the ledgers. */
     public LedgerPartitions ledgers() {
         return ledgers;
--- a/src/main/java/org/radishspan/peer/Peer.java
+++ b/src/main/java/org/radishspan/peer/Peer.java
@@ -14,6 +14,7 @@
     boolean draining;
     boolean storeAway;
     long lastHeardMillis;
+    long lastResetMillis;
     long unlistedAtMillis;
     long configRevision;
     int requestsInFlight;
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -66,6 +66,9 @@
     }
 
     private static final long GONE_AFTER_UNLISTED_MILLIS = 3_000;
+    /** The connection to a router that missed so many reports is given up. */
+    private static final int SILENT_REPORTS = 3;
+
     private static final long MAX_PENDING_HANDOVERS = 10_000;
 
     private final Self self;
@@ -326,11 +329,20 @@
                         .setStoreAway(table.selfStoreAway()))
                 .build();
         for (Peer peer : new ArrayList<>(table.rows())) {
+            resetSilent(peer);
             send(peer, report);
             noticeGone(peer);
         }
     }
 
+    private void resetSilent(Peer peer) {
+        long quietMillis = nowMillis - Math.max(peer.lastHeardMillis, peer.lastResetMillis);
+        if (quietMillis >= SILENT_REPORTS * table.reportMillis()) {
+            peer.lastResetMillis = nowMillis;
+            link.reset(peer);
+        }
+    }
+
     private void noticeGone(Peer peer) {
         boolean silent = nowMillis - peer.lastHeardMillis >= table.silentMillis();
         boolean unlisted = !peer.listed && nowMillis - peer.unlistedAtMillis >= GONE_AFTER_UNLISTED_MILLIS;
--- a/src/main/java/org/radishspan/peer/PeerTransport.java
+++ b/src/main/java/org/radishspan/peer/PeerTransport.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
@@ -46,6 +47,7 @@
     private final BiConsumer<String, PeerMessage> onMessage;
     private final Map<String, Connection> outgoing = new HashMap<>();
     private final Channel server;
+    private Consumer<String> onConnectionLost = vm -> {};
     private long bytesSent;
 
     private static final class Connection {
@@ -86,6 +88,11 @@
         return new HmacUtils(HmacAlgorithms.HMAC_SHA_256, secret).hmacHex(vm + "/" + incarnation);
     }
 
+    /** Sets what to do when a connection to a router is lost, or cannot be made. */
+    public void onConnectionLost(Consumer<String> action) {
+        onConnectionLost = action;
+    }
+
     /** Returns the port bound. */
     public int port() {
         return ((InetSocketAddress) server.localAddress()).getPort();
@@ -121,6 +128,15 @@
         }
     }
 
+    @Override
+    public void reset(Peer peer) {
+        Connection connection = outgoing.get(peer.host() + ":" + peer.port());
+        if (connection != null && connection.channel != null) {
+            connection.channel.close();
+            connection.channel = null;
+        }
+    }
+
     private void connect(Peer peer, Connection connection, PeerMessage first) {
         connection.connecting = true;
         ChannelFuture future = new Bootstrap()
@@ -137,8 +153,12 @@
                 .connect(peer.host(), peer.port());
         future.addListener(done -> {
             connection.connecting = false;
+            if (!done.isSuccess()) {
+                onConnectionLost.accept(peer.vm());
+            }
             if (done.isSuccess()) {
                 connection.channel = future.channel();
+                future.channel().closeFuture().addListener(closed -> onConnectionLost.accept(peer.vm()));
                 future.channel().write(hello.get());
                 future.channel().writeAndFlush(first);
             }
--- a/src/test/java/org/radishspan/budget/PrepaidLimitTest.java
+++ b/src/test/java/org/radishspan/budget/PrepaidLimitTest.java
@@ -13,7 +13,7 @@
 
 /** Limits that come from configurations, and what is kept of them for calls that wait. */
 public class PrepaidLimitTest {
-    private static final GrantRule HALF_KEPT = GrantRule.keepingReserve(0.5, GrantRule.asAsked());
+    private static final GrantRule HALF_KEPT = GrantRule.keepingReserve(0.5, 0, GrantRule.asAsked());
 
     private static LedgerBook apply(LedgerBook book, Mutation<LedgerBook> mutation) {
         Either<Failure, LedgerBook> result = mutation.apply(book);
@@ -81,6 +81,15 @@
             assertEquals(account(book).getShares(1).getGrantedTokens(), 400);
         }
 
+        @Test
+        public void isNoMoreThanTheFleetNeedsUntilItHasRecovered() {
+            GrantRule rule = GrantRule.keepingReserve(0.5, 2_000, GrantRule.asAsked());
+            Ledger.GrantRequest request = new Ledger.GrantRequest("a-1.1", "a-1", "a", 1, 10, 0, 100, List.of());
+            LedgerBook book = apply(withLimit(1_000), Ledger.grant("w", request, rule));
+            book = apply(book, Ledger.grant("w", request("b", 1, 900, 0), rule));
+            assertEquals(account(book).getShares(1).getGrantedTokens(), 790, "two seconds of 100 a second stay");
+        }
+
         @Test
         public void isThatOfWhatCanStillBeSpent() {
             LedgerBook book = apply(withLimit(1_000), Ledger.grant("w", request("a", 1, 400, 0), HALF_KEPT));
