Tell other routers of prompts that were sent; count only parts known to be read as cached

Ruled out: waiting for tokens (100 ms at most), pauses (350 ms at most), load headers (they come with answers, too late).

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -40,11 +40,13 @@
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
+import org.radishspan.proto.PromptSent;
 import org.radishspan.relay.RelayMetrics;
 import org.radishspan.relay.RelaySystem;
 import org.radishspan.relay.RetryBudget;
 import org.radishspan.relay.TargetProtocol;
 import org.radishspan.request.StrikeTable;
+import org.radishspan.routing.Target;
 import org.radishspan.routing.TargetTable;
 import org.radishspan.routing.TargetTable.ListedVm;
 import org.radishspan.store.CallBudget;
@@ -116,6 +118,12 @@
     /** A request may crash three targets; later repeats of it reach none. */
     private static final int CRASHES_BEFORE_QUARANTINE = 3;
 
+    /** Prompts that take an engine less than 10 ms to read are not worth a message. */
+    private static final long MIN_NOTICE_TOKENS = 300;
+
+    /** Fleets beyond this size do not announce prompts, as the messages grow with the square of the routers. */
+    private static final int MAX_NOTICE_PEERS = 16;
+
     private static final long ANNOUNCE_RETRY_MILLIS = 500;
 
     private final Ports ports;
@@ -190,6 +198,7 @@
                         configuration::current,
                         this::routerCount,
                         strikes,
+                        this::announcePrompt,
                         ports.random(),
                         ports.clockMillis(),
                         ports.log(),
@@ -211,6 +220,17 @@
         return Math.max(1, routers.size());
     }
 
+    private void announcePrompt(Target target, long uncachedTokens, List<String> sharedPartIds) {
+        boolean few = peers.table().rows().size() <= MAX_NOTICE_PEERS;
+        if (few && uncachedTokens >= MIN_NOTICE_TOKENS) {
+            peers.announcePrompt(PromptSent.newBuilder()
+                    .setTarget(target.name())
+                    .setUncachedTokens(uncachedTokens)
+                    .addAllSharedParts(sharedPartIds)
+                    .build());
+        }
+    }
+
     private boolean storeAway() {
         return targetWatch.failedWithin(0) || ledgers.all().stream().anyMatch(SharedObject::unanswered);
     }
@@ -438,6 +458,16 @@
             strikes.onNotice(fingerprint, target, ports.clockMillis().getAsLong());
         }
 
+        @Override
+        public void onPromptSent(PromptSent prompt) {
+            Target target = targets.get(prompt.getTarget());
+            if (target != null) {
+                targets.addForeignPrompt(
+                        target, prompt.getUncachedTokens(), ports.clockMillis().getAsLong());
+                target.cachedParts().onRead(prompt.getSharedPartsList());
+            }
+        }
+
         @Override
         public void onRevision(long revision) {
             if (revision > configuration.version()) {
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -19,6 +19,7 @@
 import org.radishspan.proto.LedgerNotice;
 import org.radishspan.proto.LoadReport;
 import org.radishspan.proto.PeerMessage;
+import org.radishspan.proto.PromptSent;
 import org.radishspan.proto.ShareWanted;
 import org.radishspan.proto.Strike;
 import org.radishspan.routing.TargetTable.ListedVm;
@@ -55,6 +56,9 @@
         /** Hears that a request broke a target at a peer, or, without a target, that it may run again. */
         void onStrike(String fingerprint, String target);
 
+        /** Hears that a peer sent a prompt to a target. */
+        default void onPromptSent(PromptSent prompt) {}
+
         /** Hears that a peer has a configuration revision. */
         void onRevision(long revision);
 
@@ -178,6 +182,7 @@
                 handlers.onStrike(
                         message.getStrike().getFingerprint(),
                         message.getStrike().getTarget());
+            case PROMPT_SENT -> handlers.onPromptSent(message.getPromptSent());
             default -> {}
         }
     }
@@ -287,6 +292,11 @@
         sendToAll(message);
     }
 
+    /** Tells every peer that a target got a prompt to read. */
+    public void announcePrompt(PromptSent prompt) {
+        sendToAll(PeerMessage.newBuilder().setPromptSent(prompt).build());
+    }
+
     /** Tells every peer that a share of a budget is short of tokens. */
     public void announceShortage(String budget, String shareId, long tokens) {
         PeerMessage message = PeerMessage.newBuilder()
--- a/src/main/java/org/radishspan/relay/RelayRequest.java
+++ b/src/main/java/org/radishspan/relay/RelayRequest.java
@@ -51,6 +51,9 @@
     boolean everSent;
     boolean headRelayed;
     long relayedEvents;
+    long firstEventAtMillis;
+    long lastEventAtMillis;
+    long longestPauseMillis;
     OptionalLong lastEventId;
     final Set<String> triedTargets = new HashSet<>();
 
@@ -96,6 +99,17 @@
         return request.requestId();
     }
 
+    /** Counts an event that goes to the caller. */
+    void noteEvent(long nowMillis) {
+        if (relayedEvents == 0) {
+            firstEventAtMillis = nowMillis;
+        } else {
+            longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastEventAtMillis);
+        }
+        lastEventAtMillis = nowMillis;
+        relayedEvents++;
+    }
+
     boolean finished() {
         return phase == Phase.FINISHED;
     }
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -45,6 +45,7 @@
      * @param configuration the configuration in force; empty until one is known
      * @param liveRouters how many routers work beside this one, itself included
      * @param strikes requests that crashed targets
+     * @param promptNotice hears of each prompt that is sent
      * @param random for choices
      * @param clockMillis a clock that never steps
      * @param log the structured log
@@ -58,11 +59,19 @@
             Supplier<Optional<DeploymentConfiguration>> configuration,
             IntSupplier liveRouters,
             StrikeTable strikes,
+            PromptNotice promptNotice,
             UniformRandomProvider random,
             LongSupplier clockMillis,
             EventLog log,
             RelayMetrics metrics) {}
 
+    /** Hears of prompts, so that other routers can count them. */
+    @FunctionalInterface
+    public interface PromptNotice {
+        /** A target got a prompt to read. */
+        void sent(Target target, long uncachedTokens, List<String> sharedPartIds);
+    }
+
     /** The longest deadline that is taken from a caller who names none. */
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
 
@@ -96,6 +105,9 @@
     /** Streams also wait for prompts to be read. */
     private static final long MIN_SILENT_STREAM_MILLIS = 1_000;
 
+    /** How often deadlines are looked at; bounds are half a second. */
+    private static final long SWEEP_MILLIS = 10;
+
     private static final int HIGHEST_URGENCY = 0;
     private static final int LOWEST_URGENCY = 9;
 
@@ -106,6 +118,7 @@
     private final CrashWatch crashes;
     private final Set<RelayRequest> rows = new LinkedHashSet<>();
     private final Attempt.Outcomes outcomes = new AttemptOutcomes();
+    private long sweptAtMillis;
     private boolean refusing;
 
     /** Creates the system for a router in a failure domain. */
@@ -289,7 +302,7 @@
         }
         Optional<Placement.Choice> choice = row.promptShape == null
                 ? placement.choose(candidates, failureDomain)
-                : placement.choose(candidates, row.promptShape);
+                : placement.choose(candidates, row.promptShape, nowMillis);
         if (choice.isEmpty() || row.sends >= MAX_SENDS) {
             giveUp(row, choice.isEmpty() ? "no target of the service is left" : "every target refused the request");
             return;
@@ -322,6 +335,7 @@
         ports.targets().addPendingPrompt(target, attempt.pendingPromptTokens);
         if (row.promptShape != null) {
             target.cachedParts().onRead(row.promptShape.partIds());
+            ports.promptNotice().sent(target, choice.uncachedTokens(), row.promptShape.sharedPartIds());
         }
         ports.metrics().onSent(nowMillis - row.acceptedAtMillis);
         ports.log()
@@ -481,6 +495,10 @@
     /** Looks after deadlines and silent targets. */
     public void tick() {
         long nowMillis = now();
+        if (nowMillis - sweptAtMillis < SWEEP_MILLIS) {
+            return;
+        }
+        sweptAtMillis = nowMillis;
         for (RelayRequest row : List.copyOf(rows)) {
             if (nowMillis >= row.deadlineAtMillis) {
                 expire(row);
@@ -561,7 +579,7 @@
                 row.lastEventId = OptionalLong.of(event.id());
             }
             relayStreamHead(row);
-            row.relayedEvents++;
+            row.noteEvent(now());
             row.exchange.write(event.bytes());
             if (!row.exchange.writable()) {
                 attempt.setPaused(true);
@@ -612,8 +630,13 @@
                     .with("status", status)
                     .with("events", row.relayedEvents)
                     .with("sends", row.sends)
+                    .with("first_event_ms", row.relayedEvents == 0 ? 0 : row.firstEventAtMillis - row.acceptedAtMillis)
+                    .with("longest_pause_ms", row.longestPauseMillis)
                     .with("elapsed_ms", elapsedMillis)
                     .write();
+            if (row.relayedEvents > 0) {
+                ports.metrics().onPause(row.longestPauseMillis);
+            }
             row.attempt = null;
             finish(row, true);
         }
--- a/src/main/java/org/radishspan/routing/Placement.java
+++ b/src/main/java/org/radishspan/routing/Placement.java
@@ -26,6 +26,11 @@
      * @param partTokens the lengths of the parts
      */
     public record PromptShape(String sharedPartId, List<String> partIds, List<Long> partTokens) {
+        /** Returns the leading parts that other prompts share; the last one belongs to this request alone. */
+        public List<String> sharedPartIds() {
+            return partIds.subList(0, Math.max(0, partIds.size() - 1));
+        }
+
         private long tokens() {
             return partTokens.stream().mapToLong(Long::longValue).sum();
         }
@@ -61,32 +66,50 @@
     }
 
     /** Returns the best target for a prompt; empty if there are no candidates. */
-    public Optional<Choice> choose(List<Target> candidates, PromptShape prompt) {
+    public Optional<Choice> choose(List<Target> candidates, PromptShape prompt, long nowMillis) {
         Optional<Target> home = candidates.stream().max(Comparator.comparingLong(target -> rank(target, prompt)));
         Choice best = null;
+        double bestCost = 0;
         for (Target candidate : candidates) {
-            Choice choice = estimate(candidate, prompt, home.get() == candidate);
-            if (best == null || choice.estimateMillis() < best.estimateMillis()) {
+            Choice choice = estimate(candidate, prompt, nowMillis);
+            double cost = choice.estimateMillis() - (home.get() == candidate ? homeBonusMillis(candidate, prompt) : 0);
+            if (best == null || cost < bestCost) {
                 best = choice;
+                bestCost = cost;
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns what speaks for the target that ranks first beyond its estimate: other routers send the shared parts there as
+     * well, so what it reads of them now is read for all, and it may have read them already.
+     */
+    private static double homeBonusMillis(Target target, PromptShape prompt) {
+        int shared = Math.max(0, prompt.partIds().size() - 1);
+        int known = Math.min(shared, target.cachedParts.leadingParts(prompt.partIds()));
+        return (prompt.leadingTokens(shared) - prompt.leadingTokens(known)) / READ_TOKENS_PER_MILLI;
+    }
+
     private static long rank(Target target, PromptShape prompt) {
         byte[] bytes = (prompt.sharedPartId() + "/" + target.name()).getBytes(UTF_8);
         return Integer.toUnsignedLong(MurmurHash3.hash32x86(bytes, 0, bytes.length, 0));
     }
 
-    private static Choice estimate(Target target, PromptShape prompt, boolean home) {
+    private static Choice estimate(Target target, PromptShape prompt, long nowMillis) {
         int known = target.cachedParts.leadingParts(prompt.partIds());
-        // The other routers send the shared parts there as well, so it has probably read them for one of them.
-        int shared = Math.max(0, prompt.partIds().size() - 1);
-        long uncached = prompt.tokens() - prompt.leadingTokens(home ? Math.max(known, shared) : known);
-        double estimate = (target.pendingPromptTokens + uncached) / READ_TOKENS_PER_MILLI + crowdMillis(target);
+        long uncached = prompt.tokens() - prompt.leadingTokens(known);
+        double unread = target.pendingPromptTokens + foreignPromptTokens(target, nowMillis) + uncached;
+        double estimate = unread / READ_TOKENS_PER_MILLI + crowdMillis(target);
         return new Choice(target, estimate, uncached);
     }
 
+    /** Returns the prompt tokens of other routers that a target cannot have read yet. */
+    static double foreignPromptTokens(Target target, long nowMillis) {
+        double read = (nowMillis - target.foreignAtMillis) * READ_TOKENS_PER_MILLI;
+        return Math.max(0, target.foreignPromptTokens - read);
+    }
+
     private static double crowdMillis(Target target) {
         int running = Math.max(target.inFlight, target.expectedLoad());
         return running * RUNNING_MILLIS + target.waitingThere * WAITING_MILLIS;
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -23,6 +23,8 @@
     int waitingThere;
     long startedAtUnixMillis;
     long pendingPromptTokens;
+    double foreignPromptTokens;
+    long foreignAtMillis;
     long closedMillis;
     final PromptCacheView cachedParts = new PromptCacheView();
 
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -132,6 +132,12 @@
         target.pendingPromptTokens += tokens;
     }
 
+    /** Counts prompt tokens that another router sent to a target; they count until the target has had the time to read them. */
+    public void addForeignPrompt(Target target, long tokens, long nowMillis) {
+        target.foreignPromptTokens = Placement.foreignPromptTokens(target, nowMillis) + tokens;
+        target.foreignAtMillis = nowMillis;
+    }
+
     /** Counts prompt tokens out that a target has read, or will not read any more. */
     public void removePendingPrompt(Target target, long tokens) {
         target.pendingPromptTokens -= tokens;
--- a/src/test/java/org/radishspan/relay/RelayHarness.java
+++ b/src/test/java/org/radishspan/relay/RelayHarness.java
@@ -240,6 +240,7 @@
                         () -> configuration,
                         () -> 1,
                         new StrikeTable((fingerprint, target) -> {}, 3),
+                        (target, uncachedTokens, sharedPartIds) -> {},
                         random,
                         () -> nowMillis,
                         EventLog.silent(),
--- a/src/test/java/org/radishspan/routing/PlacementTest.java
+++ b/src/test/java/org/radishspan/routing/PlacementTest.java
@@ -20,6 +20,7 @@
 /** Where requests are sent. */
 public class PlacementTest {
     private static final int TARGETS = 13;
+    private static final long NOW_MILLIS = 5_000;
 
     private TargetTable table = new TargetTable();
     private Placement placement = new Placement(RandomSource.XO_SHI_RO_256_PP.create(1));
@@ -48,7 +49,7 @@
     }
 
     private Target choose(Placement.PromptShape prompt) {
-        return placement.choose(candidates(), prompt).orElseThrow().target();
+        return placement.choose(candidates(), prompt, NOW_MILLIS).orElseThrow().target();
     }
 
     @Test
@@ -56,7 +57,10 @@
         Target first = choose(prompt("subject", 700));
         Placement other = new Placement(RandomSource.XO_SHI_RO_256_PP.create(2));
         assertSame(
-                other.choose(candidates(), prompt("subject", 900)).orElseThrow().target(), first);
+                other.choose(candidates(), prompt("subject", 900), NOW_MILLIS)
+                        .orElseThrow()
+                        .target(),
+                first);
     }
 
     @Test
@@ -78,14 +82,28 @@
         assertSame(choose(prompt("subject", 700)), home);
     }
 
+    @Test
+    public void promptsOfOtherRoutersCountUntilTheyCanHaveBeenRead() {
+        Target home = choose(prompt("subject", 700));
+        table.addForeignPrompt(home, 20_000, NOW_MILLIS);
+        assertNotEquals(choose(prompt("subject", 700)).name(), home.name());
+        assertSame(
+                placement
+                        .choose(candidates(), prompt("subject", 700), NOW_MILLIS + 700)
+                        .orElseThrow()
+                        .target(),
+                home);
+    }
+
     @Test
     public void whatATargetHasReadCountsForIt() {
         Target home = choose(prompt("subject", 700));
         table.addPendingPrompt(home, 20_000);
         Target second = choose(prompt("subject", 700));
         second.cachedParts().onRead(List.of("system", "subject", "own-700"));
-        Placement.Choice choice =
-                placement.choose(candidates(), prompt("subject", 700)).orElseThrow();
+        Placement.Choice choice = placement
+                .choose(candidates(), prompt("subject", 700), NOW_MILLIS)
+                .orElseThrow();
         assertSame(choice.target(), second);
         assertEquals(choice.uncachedTokens(), 0);
     }
