--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -24,8 +24,10 @@
         REFUSED,
         /** Another target has the address, and did not run the request. */
         OTHER_TARGET,
-        /** The answer broke off, came damaged, or never came; the request may have run. */
+        /** The answer broke off or came damaged; the request may have run. */
         BROKEN,
+        /** Nothing came for long; the request may have run. */
+        SILENT,
         /** The target answered with a failure of its own. */
         TARGET_FAILED
     }
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -507,7 +507,7 @@
             Attempt attempt = row.attempt;
             if (attempt != null && row.route.repeatable() && silent(attempt, nowMillis)) {
                 attempt.trouble(
-                        Attempt.Trouble.BROKEN,
+                        Attempt.Trouble.SILENT,
                         "nothing came from the target for " + (nowMillis - attempt.progressAtMillis) + " ms");
             }
         }
@@ -667,6 +667,13 @@
             if (trouble != Attempt.Trouble.NOT_SENT) {
                 row.everSent = true;
             }
+            if (trouble == Attempt.Trouble.SILENT) {
+                // A target that went dark would take every request that is placed there until its entry lapses.
+                ports.targets().onUnreachable(attempt.target, now());
+                row.targetsThatMayHaveRun++;
+                repeat(row, reason);
+                return;
+            }
             if (trouble == Attempt.Trouble.BROKEN) {
                 crashes.onConnectionLost(attempt.target, row.request.fingerprint(), now());
                 row.targetsThatMayHaveRun++;
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -218,6 +218,18 @@
             assertEquals(harness.last().request.header("X-Deadline-Ms"), Optional.of("1100"));
         }
 
+        @Test
+        public void areNotPlacedAtATargetThatJustFellSilent() {
+            RelayHarness harness = new RelayHarness(2);
+            harness.call("read");
+            String silent = harness.last().target();
+            harness.pass(410);
+            for (int i = 0; i < 20; i++) {
+                harness.call("read");
+                assertNotEquals(harness.last().target(), silent);
+            }
+        }
+
         @Test
         public void stopBeingRepeatedWhenTheRetryBudgetIsUsedUp() {
             RelayHarness harness = new RelayHarness(3);
