--- /dev/null
+++ b/src/test/java/org/radishspan/peer/PeerSystemTest.java
@@ -0,0 +1,155 @@
+package org.radishspan.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.radishspan.budget.Ledger;
+import org.radishspan.proto.LedgerAnswer;
+import org.radishspan.proto.LedgerCall;
+import org.radishspan.proto.LoadReport;
+import org.radishspan.proto.PeerMessage;
+import org.radishspan.routing.TargetTable.ListedVm;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** What a router concludes from its peers' heartbeats. */
+public class PeerSystemTest {
+    private static final int PARTITION = 0;
+
+    private static final class Harness implements PeerLink, PeerSystem.Handlers {
+        private final List<String> resets = new ArrayList<>();
+        private final List<PeerMessage> sent = new ArrayList<>();
+        private final PeerSystem peers =
+                new PeerSystem(new PeerSystem.Self("vm-0", "vm-0-1", "a"), this, this, () -> 0, () -> 0);
+        private long nowMillis;
+
+        Harness(int others) {
+            List<ListedVm> listed = new ArrayList<>();
+            for (int i = 1; i <= others; i++) {
+                listed.add(new ListedVm("vm-" + i, "router", "10.0.0." + i, 7200, "a", false, Set.of()));
+            }
+            peers.replace(listed);
+        }
+
+        private void heartbeat(String vm, boolean storeAway) {
+            peers.onMessage(
+                    vm,
+                    PeerMessage.newBuilder()
+                            .setLoad(LoadReport.newBuilder()
+                                    .setIncarnation(vm + "-1")
+                                    .setStoreAway(storeAway))
+                            .build());
+        }
+
+        private void pass(long millis) {
+            nowMillis += millis;
+            peers.tick(nowMillis);
+        }
+
+        @Override
+        public void send(Peer peer, PeerMessage message) {
+            sent.add(message);
+        }
+
+        @Override
+        public void reset(Peer peer) {
+            resets.add(peer.vm());
+        }
+
+        @Override
+        public boolean keepBill(String budget, Ledger.Settlement settlement) {
+            return false;
+        }
+
+        @Override
+        public void onShortage(String budget, long tokens) {}
+
+        @Override
+        public void onLedgerCall(String vm, LedgerCall call) {}
+
+        @Override
+        public void onLedgerAnswer(LedgerAnswer answer) {}
+
+        @Override
+        public void onLedgerNotice(int partition) {}
+
+        @Override
+        public void onStrike(String fingerprint, String target) {}
+
+        @Override
+        public void onRevision(long revision) {}
+
+        @Override
+        public void onProcessGone(String incarnation) {}
+
+        @Override
+        public void onProcessAlive(String incarnation) {}
+    }
+
+    /** Who commits for a ledger. */
+    public static class Combiner {
+        private static Harness alive() {
+            Harness harness = new Harness(5);
+            harness.pass(500);
+            for (int i = 1; i <= 5; i++) {
+                harness.heartbeat("vm-" + i, false);
+            }
+            return harness;
+        }
+
+        @Test
+        public void isNoRouterThatCannotReachTheStore() {
+            Harness harness = alive();
+            for (int i = 0; i < 5; i++) {
+                String combiner = harness.peers.table().combinerOf(PARTITION);
+                if (combiner.isEmpty()) {
+                    harness.peers.noteStoreAway(true);
+                    continue;
+                }
+                harness.heartbeat(combiner, true);
+                assertFalse(harness.peers.table().combinerOf(PARTITION).equals(combiner));
+            }
+        }
+
+        @Test
+        public void isThisRouterWhereNobodyReachesTheStore() {
+            Harness harness = alive();
+            harness.peers.noteStoreAway(true);
+            for (int i = 1; i <= 5; i++) {
+                harness.heartbeat("vm-" + i, true);
+            }
+            assertEquals(harness.peers.table().combinerOf(PARTITION), "");
+        }
+
+        @Test
+        public void thatLostTheStoreTellsItsPeersAtOnce() {
+            Harness harness = alive();
+            harness.sent.clear();
+            harness.peers.noteStoreAway(true);
+            harness.pass(1);
+            assertTrue(
+                    harness.sent.stream().allMatch(message -> message.getLoad().getStoreAway()));
+            assertEquals(harness.sent.size(), 5);
+        }
+    }
+
+    /** Peers that fall silent. */
+    public static class Silent {
+        @Test
+        public void getANewConnectionAfterThreeMissedHeartbeats() {
+            Harness harness = new Harness(2);
+            harness.pass(500);
+            harness.heartbeat("vm-1", false);
+            harness.heartbeat("vm-2", false);
+            for (int i = 0; i < 3; i++) {
+                harness.pass(500);
+                harness.heartbeat("vm-2", false);
+            }
+            assertEquals(harness.resets, List.of("vm-1"));
+        }
+    }
+}
