Remove dead state of the relay, parse whole numbers of headers in one place, hash bodies only when asked

Cause: a last read of the change. Found: request phases of which only the last was ever asked for; answeredAtMillis, headSeen, closing, Target.slots and two accessors that nobody read; CrashWatch.onAnswered never called; two copies of the digits check in CallerCodec and HttpTargetProtocol; two copies of the content-type list in HttpCall; the body of every request was hashed for a table of strikes that is nearly always empty. Change: RelayRequest.finished, WireHeaders.wholeNumber, HttpCall.withContentType, StrikeTable.isEmpty; HeaderNames is WireHeaders. No test was touched; behaviour stays. Left: no_tokens logs the fleet's unspent tokens under two keys; limits of VmSettings that nothing reads yet.

--- a/src/main/java/org/radishspan/http/HttpCall.java
+++ b/src/main/java/org/radishspan/http/HttpCall.java
@@ -139,10 +139,7 @@
         if (done) {
             return;
         }
-        List<Map.Entry<String, String>> all = new ArrayList<>();
-        all.add(Map.entry("Content-Type", contentType));
-        all.addAll(extraHeaders.entrySet());
-        respond(status, all, bytes);
+        respond(status, withContentType(contentType, extraHeaders), bytes);
     }
 
     /** Answers whole with the given headers; length and connection headers are set here. */
@@ -158,6 +155,14 @@
         finish(context.writeAndFlush(response));
     }
 
+    private static List<Map.Entry<String, String>> withContentType(
+            String contentType, Map<String, String> extraHeaders) {
+        List<Map.Entry<String, String>> all = new ArrayList<>();
+        all.add(Map.entry("Content-Type", contentType));
+        all.addAll(extraHeaders.entrySet());
+        return all;
+    }
+
     private void markClosing(HttpHeaders answerHeaders) {
         if (closing) {
             answerHeaders.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -171,10 +176,7 @@
 
     /** Starts an answer that is written in parts. */
     public void startStream(int status, String contentType, Map<String, String> extraHeaders) {
-        List<Map.Entry<String, String>> all = new ArrayList<>();
-        all.add(Map.entry("Content-Type", contentType));
-        all.addAll(extraHeaders.entrySet());
-        startStream(status, all);
+        startStream(status, withContentType(contentType, extraHeaders));
     }
 
     /** Starts an answer that is written in parts, with the given headers. */
--- a/src/main/java/org/radishspan/platform/CallerCodec.java
+++ b/src/main/java/org/radishspan/platform/CallerCodec.java
@@ -26,16 +26,16 @@
     /** Returns a request as the core knows it. */
     public static CallerRequest request(HttpCall call) {
         return new CallerRequest(
-                call.header(HeaderNames.REQUEST_ID).orElse(""),
+                call.header(WireHeaders.REQUEST_ID).orElse(""),
                 call.rawMethod(),
                 call.rawUri(),
                 host(call.header("Host").orElse("")),
                 relayedHeaders(call),
                 call.body(),
-                call.header(HeaderNames.CALLER_KEY).map(String::strip),
-                wholeNumber(call.header(HeaderNames.DEADLINE_MILLIS).orElse("")),
+                call.header(WireHeaders.CALLER_KEY).map(String::strip),
+                wholeNumber(call.header(WireHeaders.DEADLINE_MILLIS).orElse("")),
                 prompt(call),
-                wholeNumber(call.header(HeaderNames.LAST_EVENT_ID).orElse("")));
+                wholeNumber(call.header(WireHeaders.LAST_EVENT_ID).orElse("")));
     }
 
     private static String host(String value) {
@@ -52,8 +52,8 @@
         List<Map.Entry<String, String>> result = new ArrayList<>();
         for (Map.Entry<String, String> header : call.headers()) {
             boolean endToEnd = !named.contains(header.getKey().toLowerCase(Locale.ROOT))
-                    || header.getKey().equalsIgnoreCase(HeaderNames.REQUEST_ID);
-            if (endToEnd && HeaderNames.forTargets(header.getKey())) {
+                    || header.getKey().equalsIgnoreCase(WireHeaders.REQUEST_ID);
+            if (endToEnd && WireHeaders.forTargets(header.getKey())) {
                 result.add(header);
             }
         }
@@ -61,7 +61,7 @@
     }
 
     private static Optional<Prompt> prompt(HttpCall call) {
-        String[] counts = call.header(HeaderNames.TOKENS).orElse("").split(",", -1);
+        String[] counts = call.header(WireHeaders.TOKENS).orElse("").split(",", -1);
         if (counts.length != 2) {
             return Optional.empty();
         }
@@ -70,7 +70,7 @@
         if (input.isEmpty() || output.isEmpty()) {
             return Optional.empty();
         }
-        List<Prompt.Part> parts = parts(call.header(HeaderNames.PROMPT_PARTS).orElse(""));
+        List<Prompt.Part> parts = parts(call.header(WireHeaders.PROMPT_PARTS).orElse(""));
         return Optional.of(new Prompt(input.getAsLong(), output.getAsLong(), parts));
     }
 
@@ -88,10 +88,6 @@
     }
 
     private static OptionalLong wholeNumber(String text) {
-        String digits = text.strip();
-        boolean number = !digits.isEmpty()
-                && digits.length() <= MAX_DIGITS
-                && digits.chars().allMatch(character -> character >= '0' && character <= '9');
-        return number ? OptionalLong.of(Long.parseLong(digits)) : OptionalLong.empty();
+        return WireHeaders.wholeNumber(text, MAX_DIGITS);
     }
 }
--- a/src/main/java/org/radishspan/platform/HttpCallerExchange.java
+++ b/src/main/java/org/radishspan/platform/HttpCallerExchange.java
@@ -38,7 +38,7 @@
         if (failure.retryAfterMillis() > 0) {
             // Callers of this platform read fractions of a second as well.
             String seconds = String.format(Locale.ROOT, "%.3f", failure.retryAfterMillis() / MILLIS_PER_SECOND);
-            headers.add(Map.entry(HeaderNames.RETRY_AFTER, seconds));
+            headers.add(Map.entry(WireHeaders.RETRY_AFTER, seconds));
         }
         byte[] body = ErrorAnswer.json(failure).toString().getBytes(UTF_8);
         call.respond(status(failure), headers, body);
--- a/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
+++ b/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.jspecify.annotations.Nullable;
 import org.radishspan.http.HttpTransport;
@@ -24,11 +25,11 @@
     @Override
     public HttpTransport.Request request(CallerRequest request, Send send) {
         List<Map.Entry<String, String>> headers = new ArrayList<>(request.headers());
-        headers.add(Map.entry(HeaderNames.DEADLINE_MILLIS, Long.toString(send.remainingMillis())));
-        headers.add(Map.entry(HeaderNames.EXPECTED_TARGET, send.target().name()));
-        headers.add(Map.entry(HeaderNames.URGENCY, Integer.toString(send.urgency())));
-        send.workspace().ifPresent(name -> headers.add(Map.entry(HeaderNames.WORKSPACE, name)));
-        send.lastEventId().ifPresent(last -> headers.add(Map.entry(HeaderNames.LAST_EVENT_ID, Long.toString(last))));
+        headers.add(Map.entry(WireHeaders.DEADLINE_MILLIS, Long.toString(send.remainingMillis())));
+        headers.add(Map.entry(WireHeaders.EXPECTED_TARGET, send.target().name()));
+        headers.add(Map.entry(WireHeaders.URGENCY, Integer.toString(send.urgency())));
+        send.workspace().ifPresent(name -> headers.add(Map.entry(WireHeaders.WORKSPACE, name)));
+        send.lastEventId().ifPresent(last -> headers.add(Map.entry(WireHeaders.LAST_EVENT_ID, Long.toString(last))));
         return new HttpTransport.Request(
                 send.target().host(),
                 send.target().port(),
@@ -41,24 +42,22 @@
     }
 
     private static boolean belongsTo(String requestId, HttpTransport.Headers answer) {
-        String answeredId = answer.get(HeaderNames.REQUEST_ID);
+        String answeredId = answer.get(WireHeaders.REQUEST_ID);
         return answeredId == null || answeredId.equals(requestId);
     }
 
     @Override
     public AnswerHead answerHead(int status, HttpTransport.Headers headers) {
         String contentType = headers.get("Content-Type");
-        String connection = headers.get("Connection");
         return new AnswerHead(
                 status,
-                headers.get(HeaderNames.NOT_RUN) != null,
+                headers.get(WireHeaders.NOT_RUN) != null,
                 status == MISDIRECTED,
-                headers.get(HeaderNames.SIGNATURE) != null,
+                headers.get(WireHeaders.SIGNATURE) != null,
                 contentType != null && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM),
-                connection != null && connection.toLowerCase(Locale.ROOT).contains("close"),
-                load(headers.get(HeaderNames.LOAD)),
+                load(headers.get(WireHeaders.LOAD)),
                 headers.all().stream()
-                        .filter(header -> HeaderNames.forCallers(header.getKey()))
+                        .filter(header -> WireHeaders.forCallers(header.getKey()))
                         .toList());
     }
 
@@ -70,14 +69,11 @@
         }
         int[] numbers = new int[LOAD_FIELDS];
         for (int i = 0; i < LOAD_FIELDS; i++) {
-            String digits = fields[i].strip();
-            boolean number = !digits.isEmpty()
-                    && digits.length() <= MAX_DIGITS
-                    && digits.chars().allMatch(character -> character >= '0' && character <= '9');
-            if (!number) {
+            OptionalLong number = WireHeaders.wholeNumber(fields[i], MAX_DIGITS);
+            if (number.isEmpty()) {
                 return Optional.empty();
             }
-            numbers[i] = Integer.parseInt(digits);
+            numbers[i] = (int) number.getAsLong();
         }
         return Optional.of(new Load(numbers[0], numbers[1], numbers[2]));
     }
--- a/src/main/java/org/radishspan/platform/HeaderNames.java
+++ b/src/main/java/org/radishspan/platform/WireHeaders.java
@@ -1,10 +1,11 @@
 package org.radishspan.platform;
 
 import java.util.Locale;
+import java.util.OptionalLong;
 import java.util.Set;
 
-/** The names of headers on the platform's wire. */
-final class HeaderNames {
+/** The headers on the platform's wire: their names, whom they are for, and whole numbers in them. */
+final class WireHeaders {
     static final String REQUEST_ID = "X-Attempt-Id";
     static final String DEADLINE_MILLIS = "X-Deadline-Ms";
     static final String CALLER_KEY = "X-Credential";
@@ -20,7 +21,7 @@
     static final String RETRY_AFTER = "Retry-After";
     private static final String TARGET_ID = "X-Instance-Id";
 
-    /** Headers that concern one connection only; lower case. */
+    /** WireHeaders that concern one connection only; lower case. */
     private static final Set<String> CONNECTION_HEADERS = Set.of(
             "connection",
             "keep-alive",
@@ -34,7 +35,7 @@
             "content-length",
             "expect");
 
-    /** Headers that only the system may set towards targets; lower case. */
+    /** WireHeaders that only the system may set towards targets; lower case. */
     private static final Set<String> SYSTEM_HEADERS = Set.of(
             CALLER_KEY.toLowerCase(Locale.ROOT),
             WORKSPACE.toLowerCase(Locale.ROOT),
@@ -49,11 +50,20 @@
             "kv-from",
             "kv-fetch");
 
-    /** Headers of answers that are meant for routers; lower case. */
+    /** WireHeaders of answers that are meant for routers; lower case. */
     private static final Set<String> ROUTER_HEADERS =
             Set.of(NOT_RUN.toLowerCase(Locale.ROOT), LOAD.toLowerCase(Locale.ROOT), TARGET_ID.toLowerCase(Locale.ROOT));
 
-    private HeaderNames() {}
+    private WireHeaders() {}
+
+    /** Returns the whole number of a header's value; empty if it is none, or has more digits than allowed. */
+    static OptionalLong wholeNumber(String text, int maxDigits) {
+        String digits = text.strip();
+        boolean number = !digits.isEmpty()
+                && digits.length() <= maxDigits
+                && digits.chars().allMatch(character -> character >= '0' && character <= '9');
+        return number ? OptionalLong.of(Long.parseLong(digits)) : OptionalLong.empty();
+    }
 
     static boolean forTargets(String name) {
         String lower = name.toLowerCase(Locale.ROOT);
--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -58,7 +58,6 @@
 
     final RelayRequest row;
     final Target target;
-    final Placement.Choice choice;
     final long sentAtMillis;
     private final TargetProtocol protocol;
     private final Outcomes outcomes;
@@ -79,7 +78,6 @@
             Outcomes outcomes,
             LongSupplier clockMillis) {
         this.row = row;
-        this.choice = choice;
         this.target = choice.target();
         this.protocol = protocol;
         this.outcomes = outcomes;
@@ -113,10 +111,6 @@
         return ended;
     }
 
-    boolean headSeen() {
-        return head != null;
-    }
-
     @Override
     public void onHead(int status, HttpTransport.Headers headers) {
         if (ended) {
--- a/src/main/java/org/radishspan/relay/CrashWatch.java
+++ b/src/main/java/org/radishspan/relay/CrashWatch.java
@@ -74,13 +74,9 @@
         }
     }
 
-    /** Clears a request that was answered. */
-    void onAnswered(String fingerprint) {
-        strikes.clear(fingerprint);
-    }
-
     /** Returns the refusal of a request that crashed several targets; empty if it may run. */
-    Optional<Failure> refusal(String fingerprint, long nowMillis) {
-        return strikes.refusal(fingerprint, Failure.Ran.NO, nowMillis);
+    Optional<Failure> refusal(CallerRequest request, long nowMillis) {
+        // The fingerprint hashes the whole body, which most of the time nobody asks for.
+        return strikes.isEmpty() ? Optional.empty() : strikes.refusal(request.fingerprint(), Failure.Ran.NO, nowMillis);
     }
 }
--- a/src/main/java/org/radishspan/relay/RelayRequest.java
+++ b/src/main/java/org/radishspan/relay/RelayRequest.java
@@ -15,18 +15,6 @@
 /** One row of the {@link RelaySystem}: a request on its way. */
 final class RelayRequest {
 
-    /** How far a request has come. */
-    enum Phase {
-        /** Waits for tokens of its budget. */
-        ADMISSION,
-        /** Waits for a target. */
-        PLACING,
-        /** Is at a target. */
-        RUNNING,
-        /** Has its final answer, or its caller has gone. */
-        FINISHED
-    }
-
     final CallerRequest request;
     final Route route;
     final String service;
@@ -38,7 +26,8 @@
     final long deadlineAtMillis;
     final int urgency;
 
-    Phase phase = Phase.ADMISSION;
+    /** Whether the request has its final answer, or its caller has gone. */
+    boolean finished;
 
     @Nullable
     Reservation reservation;
@@ -110,10 +99,6 @@
         relayedEvents++;
     }
 
-    boolean finished() {
-        return phase == Phase.FINISHED;
-    }
-
     long remainingMillis(long nowMillis) {
         return deadlineAtMillis - nowMillis;
     }
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -173,7 +173,7 @@
             refuse(request, exchange, Failure.notRun(ErrorKind.INVALID_REQUEST, "the request has no id"));
             return;
         }
-        Optional<Failure> quarantined = crashes.refusal(request.fingerprint(), now());
+        Optional<Failure> quarantined = crashes.refusal(request, now());
         if (quarantined.isPresent()) {
             refuse(request, exchange, quarantined.get());
             return;
@@ -237,7 +237,7 @@
         }
         String budget = row.workspace.get().name();
         ports.shares().reserve(budget, prompt.get().worstCaseTokens(), result -> {
-            if (row.finished()) {
+            if (row.finished) {
                 result.peek(ports.shares()::cancel);
                 return;
             }
@@ -289,7 +289,6 @@
     }
 
     private void place(RelayRequest row) {
-        row.phase = RelayRequest.Phase.PLACING;
         long nowMillis = now();
         if (row.remainingMillis(nowMillis) < MIN_REMAINING_MILLIS) {
             expire(row);
@@ -326,7 +325,6 @@
     private void send(RelayRequest row, Placement.Choice choice) {
         long nowMillis = now();
         Target target = choice.target();
-        row.phase = RelayRequest.Phase.RUNNING;
         row.sends++;
         Attempt attempt = new Attempt(row, choice, ports.protocol(), outcomes, ports.clockMillis());
         row.attempt = attempt;
@@ -400,7 +398,7 @@
     }
 
     private void fail(RelayRequest row, Failure failure) {
-        if (row.finished()) {
+        if (row.finished) {
             return;
         }
         ports.metrics().onFailed(failure.kind());
@@ -429,7 +427,7 @@
 
     /** Ends a row; bills what the request used, or the most that it can have used if that cannot be told. */
     private void finish(RelayRequest row, boolean answered) {
-        row.phase = RelayRequest.Phase.FINISHED;
+        row.finished = true;
         rows.remove(row);
         Reservation reservation = row.reservation;
         row.reservation = null;
@@ -466,7 +464,7 @@
     }
 
     private void onCallerGone(RelayRequest row) {
-        if (row.finished()) {
+        if (row.finished) {
             return;
         }
         ports.metrics().onCallerGone();
--- a/src/main/java/org/radishspan/relay/TargetProtocol.java
+++ b/src/main/java/org/radishspan/relay/TargetProtocol.java
@@ -40,7 +40,6 @@
      * @param otherTarget whether another target than the named one has the address
      * @param signed whether the answer carries the target's signature, without which no success is genuine
      * @param stream whether events follow
-     * @param closing whether the target closes the connection afterwards
      * @param load the load that came with it
      * @param relayedHeaders the headers to pass on to the caller, in their order
      */
@@ -50,7 +49,6 @@
             boolean otherTarget,
             boolean signed,
             boolean stream,
-            boolean closing,
             Optional<Load> load,
             List<Map.Entry<String, String>> relayedHeaders) {
         private static final int FIRST_SUCCESS = 200;
--- a/src/main/java/org/radishspan/request/StrikeTable.java
+++ b/src/main/java/org/radishspan/request/StrikeTable.java
@@ -91,13 +91,18 @@
         }
     }
 
+    /** Returns whether no request has a strike. */
+    public boolean isEmpty() {
+        return rows.isEmpty();
+    }
+
     /** Returns whether a request has broken a target and was not answered since. */
     boolean suspect(String fingerprint) {
         return rows.containsKey(fingerprint);
     }
 
     /** Clears a request that was answered whole. */
-    public void clear(String fingerprint) {
+    void clear(String fingerprint) {
         if (rows.remove(fingerprint) != null) {
             notice.send(fingerprint, "");
         }
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -19,7 +19,6 @@
     int consecutiveFailures;
     int suspects;
     long suspectLostAtMillis = Long.MIN_VALUE / 2;
-    int slots;
     int waitingThere;
     long startedAtUnixMillis;
     long pendingPromptTokens;
@@ -71,16 +70,6 @@
         return startedAtUnixMillis;
     }
 
-    /** Returns how many requests the target works on at once; 0 if it did not say. */
-    public int slots() {
-        return slots;
-    }
-
-    /** Returns the requests that wait at the target for a slot, as last reported. */
-    public int waitingThere() {
-        return waitingThere;
-    }
-
     /** Returns the prompt tokens that this router sent and of which no first event has come. */
     public long pendingPromptTokens() {
         return pendingPromptTokens;
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -100,7 +100,6 @@
             known.startedAtUnixMillis = entry.startedAtUnixMillis();
             rows.put(entry.id(), known);
         }
-        known.slots = entry.slots();
         known.leaving = entry.draining();
         return known;
     }
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -60,7 +60,6 @@
     private long notBeforeMillis;
     private long backoffMillis;
     private long failedAtMillis = Long.MIN_VALUE / 2;
-    private long answeredAtMillis = Long.MIN_VALUE / 2;
     private boolean failing;
     private long nowMillis;
 
@@ -85,11 +84,6 @@
         return everSynced;
     }
 
-    /** Returns the time of the last answer of the store. */
-    public long answeredAtMillis() {
-        return answeredAtMillis;
-    }
-
     /** Returns whether a call failed within the last {@code millis}. */
     public boolean failedWithin(long millis) {
         return failing || nowMillis - failedAtMillis < millis;
@@ -206,7 +200,6 @@
     }
 
     private void onAnswered() {
-        answeredAtMillis = nowMillis;
         backoffMillis = 0;
         if (failing) {
             failing = false;
