Free the tokens that a killed router cannot have spent

Ruled out: holding less (outages of 7 to 8 s are as frequent as losses of all routers); asking peers (all are gone); the time of day; the store's revisions as a clock (they stand still while the store is down).

Change: with each change of the ledger a router states up to which running total it spends for the next 2.3 s of its VM's steady clock. Its successor on the same boot of that VM, which starts after it has ended, reads the same clock: if the statement was still valid, nothing beyond was spent and the rest is free again. A router that hears nothing from the ledger for 2.3 s spends its whole grant as before. Statements may be executed late, so the limit is the least that any of them may have put in force. Returns of tokens to a closed share are refused now. ShareSizing holds what ShareSystem decided about sizes.

--- a/src/main/java/org/radishspan/budget/BillFlow.java
+++ b/src/main/java/org/radishspan/budget/BillFlow.java
@@ -5,47 +5,82 @@
 
 import io.vavr.control.Either;
 import org.radishspan.proto.LedgerResult;
+import org.radishspan.proto.SpendingBound;
 
 /** Brings the bills of shares to the ledger, or to holders while the ledger does not take them. */
 final class BillFlow {
+    /** States how far a router spends a share. */
+    @FunctionalInterface
+    interface BoundStatement {
+        /** Returns the bound to send with a change; no more than {@code mostTokens}. */
+        SpendingBound state(Share share, long mostTokens);
+    }
+
     private static final long HANDOVER_RETRY_MILLIS = 200;
 
     private final LedgerGateway ledgers;
     private final ShareSystem.BillHandover handover;
     private final ShareCounters counters;
     private final Consumer<Share> onLost;
+    private final BoundStatement boundStatement;
     private long handoverAfterMillis;
     private long settleMillis;
+    private long boundMillis;
     private long nowMillis;
 
-    BillFlow(LedgerGateway ledgers, ShareSystem.BillHandover handover, ShareCounters counters, Consumer<Share> onLost) {
+    BillFlow(
+            LedgerGateway ledgers,
+            ShareSystem.BillHandover handover,
+            ShareCounters counters,
+            Consumer<Share> onLost,
+            BoundStatement boundStatement) {
         this.ledgers = ledgers;
         this.handover = handover;
         this.counters = counters;
         this.onLost = onLost;
+        this.boundStatement = boundStatement;
     }
 
     void startTick(long tickMillis, SharePolicy policy, SharePolicy.Tuning tuning) {
         nowMillis = tickMillis;
         handoverAfterMillis = policy.handoverAfterMillis();
         settleMillis = tuning.settleMillis();
+        boundMillis = tuning.boundMillis();
     }
 
     void settle(Share share) {
+        if (share.settleInFlight) {
+            return;
+        }
         boolean due = nowMillis >= share.nextSettleAtMillis || share.urgentSettle;
-        if (share.settleInFlight || share.committedSettleSeq == share.settleSeq || !due) {
+        boolean changed = share.committedSettleSeq != share.settleSeq;
+        if (!(due && changed) && !boundDue(share)) {
             return;
         }
+        if (!changed) {
+            share.settleSeq++;
+        }
         share.nextSettleAtMillis = nowMillis + settleMillis;
         share.settleInFlight = true;
         share.settleSubmittedAtMillis = nowMillis;
-        Ledger.Settlement settlement = share.settlement();
+        Ledger.Settlement settlement = share.settlement(boundStatement.state(share, share.grantedTokens));
         ledgers.submit(
                 share.partition,
                 LedgerOps.settle(share.budget, settlement),
                 result -> onSettled(share, settlement, result));
     }
 
+    /** Returns whether a bound is to be stated: calls wait for a higher one, or the last one grows old. */
+    private boolean boundDue(Share share) {
+        if (boundMillis == 0 || share.grantedTokens == 0 || share.retiring) {
+            return false;
+        }
+        long needed = share.usedTokens() + share.firstWaitingTokens();
+        boolean waiting = !share.waiters.isEmpty() && share.limitTokens < needed && needed <= share.grantedTokens;
+        boolean old = nowMillis - share.bounds.statedAtMillis() >= settleMillis;
+        return waiting || old && !share.urgentSettle;
+    }
+
     private void onSettled(Share share, Ledger.Settlement settlement, LedgerResult result) {
         if (!share.shareId.equals(settlement.shareId())) {
             return;
@@ -55,7 +90,9 @@
             onLost.accept(share);
             return;
         }
+        ShareSystem.noteBound(share, settlement.shareId(), settlement.bound(), result);
         ShareSystem.observe(share, result);
+        share.refreshLimit(nowMillis);
         share.committedSettleSeq = Math.max(share.committedSettleSeq, settlement.settleSeq());
         releaseBills(share, settlement.settleSeq());
     }
--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -12,6 +12,7 @@
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.HolderState;
 import org.radishspan.proto.ShareState;
+import org.radishspan.proto.SpendingBound;
 import org.radishspan.store.SharedObject.Codec;
 import org.radishspan.store.SharedObject.Mutation;
 
@@ -44,6 +45,7 @@
      * @param minimumTokens the least that helps; a smaller grant is refused
      * @param demandTokensPerSecond the demand that the router measures
      * @param holders the router processes that may hold unposted business of this share
+     * @param bound how far the router spends for a while; without validity if it states none
      */
     public record GrantRequest(
             String shareId,
@@ -53,7 +55,8 @@
             long tokens,
             long minimumTokens,
             long demandTokensPerSecond,
-            List<String> holders) {}
+            List<String> holders,
+            SpendingBound bound) {}
 
     /**
      * The bills of a share as running totals.
@@ -63,8 +66,20 @@
      * @param spentTokens all bills without an idempotency key
      * @param keyedSeq bills with an idempotency key up to this number are in {@code keyedSpentTokens} or void
      * @param keyedSpentTokens all bills with an idempotency key up to {@code keyedSeq}
+     * @param bound how far the router spends for a while; without validity if it states none
      */
-    public record Settlement(String shareId, long settleSeq, long spentTokens, long keyedSeq, long keyedSpentTokens) {}
+    public record Settlement(
+            String shareId,
+            long settleSeq,
+            long spentTokens,
+            long keyedSeq,
+            long keyedSpentTokens,
+            SpendingBound bound) {
+        /** Creates a settlement that states no bound. */
+        public Settlement(String shareId, long settleSeq, long spentTokens, long keyedSeq, long keyedSpentTokens) {
+            this(shareId, settleSeq, spentTokens, keyedSeq, keyedSpentTokens, SpendingBound.getDefaultInstance());
+        }
+    }
 
     /** Grants tokens to a share, as many as the policy allows; refused if less than the asked minimum is free. */
     public static Mutation<LedgerBook> grant(String budget, GrantRequest request, GrantRule rule) {
@@ -88,7 +103,8 @@
                     .setWantedTokens(enough ? 0 : request.minimumTokens())
                     .setDemandTokensPerSecond(request.demandTokensPerSecond())
                     .build();
-            return Either.right(putShare(state, account, index, withHolders(changed, request.holders())));
+            ShareState bounded = withBound(changed, request.bound());
+            return Either.right(putShare(state, account, index, withHolders(bounded, request.holders())));
         });
     }
 
@@ -100,12 +116,17 @@
             if (share.getRequestSeq() >= requestSeq) {
                 return Either.right(state);
             }
-            ShareState changed = share.toBuilder()
+            if (share.getClosed()) {
+                // The tokens may be among those that became free when the share was closed.
+                return Either.left(closed(shareId));
+            }
+            ShareState lowered = share.toBuilder()
                     .setRequestSeq(requestSeq)
                     .setGrantedTokens(share.getGrantedTokens() - tokens)
                     .setWantedTokens(0)
                     .setDemandTokensPerSecond(demandTokensPerSecond)
                     .build();
+            ShareState changed = withBound(lowered, SpendingBound.getDefaultInstance());
             if (changed.getGrantedTokens() < Accounts.spentTokens(changed)) {
                 return Either.left(
                         Failure.notRun(ErrorKind.INTERNAL, "share " + shareId + " gave back tokens it had spent"));
@@ -156,7 +177,21 @@
             return Either.left(Failure.ran(
                     ErrorKind.INTERNAL, "share " + settlement.shareId() + " would spend more than it was granted"));
         }
-        return Either.right(putShare(state, account, index, changed));
+        return Either.right(putShare(state, account, index, withBound(changed, settlement.bound())));
+    }
+
+    /** Puts the bound that was stated last in force; a bound never exceeds the grant. */
+    private static ShareState withBound(ShareState share, SpendingBound stated) {
+        SpendingBound known = share.getBound();
+        if (stated.getValidMillis() == 0 && known.getValidMillis() == 0) {
+            return share;
+        }
+        // Of two bounds of the same time the first one stays: its router may have learnt that it is in force.
+        SpendingBound later = stated.getAtMillis() > known.getAtMillis() ? stated : known;
+        long usable = Math.min(later.getUsableTokens(), share.getGrantedTokens());
+        return share.toBuilder()
+                .setBound(later.toBuilder().setUsableTokens(usable))
+                .build();
     }
 
     /** Closes every share of a router process that is taken for dead; its own reports are refused from then on. */
@@ -166,11 +201,36 @@
                 share -> share.toBuilder().setClosed(true).build());
     }
 
-    /** Closes the shares of every earlier process on a VM; only one process runs there at a time. */
-    public static Mutation<LedgerBook> closeEarlier(String vm, String incarnation) {
+    /**
+     * A router process at its start, when every earlier process on its VM has ended.
+     *
+     * @param vm the VM
+     * @param incarnation the process
+     * @param bootId the boot of the VM; 0 if it is not known
+     * @param startMillis the steady clock of that boot
+     */
+    public record ProcessStart(String vm, String incarnation, long bootId, long startMillis) {}
+
+    /**
+     * Closes the shares of every earlier process on a VM; only one process runs there at a time. Tokens that the ended
+     * process cannot have spent, as it was still held to a bound when this one started, are free again.
+     */
+    public static Mutation<LedgerBook> closeEarlier(ProcessStart start) {
         return onShares(
-                share -> share.getVm().equals(vm) && !share.getIncarnation().equals(incarnation) && !share.getClosed(),
-                share -> share.toBuilder().setClosed(true).build());
+                share -> share.getVm().equals(start.vm())
+                        && !share.getIncarnation().equals(start.incarnation())
+                        && !share.getClosed(),
+                share -> share.toBuilder()
+                        .setClosed(true)
+                        .setGrantedTokens(possiblySpentTokens(share, start))
+                        .build());
+    }
+
+    private static long possiblySpentTokens(ShareState share, ProcessStart start) {
+        SpendingBound bound = share.getBound();
+        boolean sameBoot = bound.getBootId() != 0 && bound.getBootId() == start.bootId();
+        boolean bounded = sameBoot && SpendingBounds.isValid(bound, start.startMillis());
+        return bounded ? Math.max(bound.getUsableTokens(), Accounts.spentTokens(share)) : share.getGrantedTokens();
     }
 
     /**
--- a/src/main/java/org/radishspan/budget/LedgerOps.java
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -33,7 +33,8 @@
                         .addAllHolders(request.holders())
                         .setFreeFraction(freeFraction)
                         .setReserveFraction(tuning.reserveFraction())
-                        .setReserveMillis(tuning.reserveMillis()))
+                        .setReserveMillis(tuning.reserveMillis())
+                        .setBound(request.bound()))
                 .build();
     }
 
@@ -66,6 +67,7 @@
                 .setSpentTokens(settlement.spentTokens())
                 .setKeyedSeq(settlement.keyedSeq())
                 .setKeyedSpentTokens(settlement.keyedSpentTokens())
+                .setBound(settlement.bound())
                 .build();
     }
 
@@ -98,7 +100,8 @@
                 grant.getTokens(),
                 grant.getMinimumTokens(),
                 grant.getDemandTokensPerSecond(),
-                grant.getHoldersList());
+                grant.getHoldersList(),
+                grant.getBound());
     }
 
     private static GrantRule rule(GrantOp grant) {
@@ -110,7 +113,12 @@
 
     private static Ledger.Settlement settlement(SettleOp op) {
         return new Ledger.Settlement(
-                op.getShareId(), op.getSettleSeq(), op.getSpentTokens(), op.getKeyedSeq(), op.getKeyedSpentTokens());
+                op.getShareId(),
+                op.getSettleSeq(),
+                op.getSpentTokens(),
+                op.getKeyedSeq(),
+                op.getKeyedSpentTokens(),
+                op.getBound());
     }
 
     private static String shareId(LedgerOp op) {
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -10,6 +10,7 @@
 import org.agrona.collections.Long2LongHashMap;
 import org.jspecify.annotations.Nullable;
 import org.radishspan.error.Failure;
+import org.radishspan.proto.SpendingBound;
 
 /**
  * One row of the {@link ShareTable}: the part of a budget that this router may spend.
@@ -65,6 +66,10 @@
     @Nullable
     Failure lastFailure;
 
+    /** What bills and reservations together may reach at the moment; the whole grant where no bound is stated. */
+    long limitTokens;
+
+    final SpendingBounds bounds = new SpendingBounds();
     final List<String> holders = new ArrayList<>();
     final Deque<PendingBill> bills = new ArrayDeque<>();
     final Deque<Waiter> waiters = new ArrayDeque<>();
@@ -93,7 +98,34 @@
 
     /** Returns the tokens that a new request may reserve. */
     public long availableTokens() {
-        return grantedTokens - spentTokens - committedKeyedTokens - reservedTokens;
+        return limitTokens - usedTokens();
+    }
+
+    /** Returns the granted tokens that no bill and no reservation uses. */
+    public long unusedTokens() {
+        return grantedTokens - usedTokens();
+    }
+
+    /** Returns the tokens billed or reserved. */
+    long usedTokens() {
+        return spentTokens + committedKeyedTokens + reservedTokens;
+    }
+
+    long waitingTokens() {
+        long total = 0;
+        for (Share.Waiter waiter : waiters) {
+            total += waiter.tokens();
+        }
+        return total;
+    }
+
+    long firstWaitingTokens() {
+        Share.Waiter first = waiters.peek();
+        return first == null ? 0 : first.tokens();
+    }
+
+    void refreshLimit(long nowMillis) {
+        limitTokens = bounds.limitTokens(grantedTokens, nowMillis);
     }
 
     /** Returns whether the ledger has answered for this share since it was made. */
@@ -192,7 +224,11 @@
     }
 
     Ledger.Settlement settlement() {
-        return new Ledger.Settlement(shareId, settleSeq, spentTokens, resolvedKeyedSeq, resolvedKeyedTokens);
+        return settlement(SpendingBound.getDefaultInstance());
+    }
+
+    Ledger.Settlement settlement(SpendingBound bound) {
+        return new Ledger.Settlement(shareId, settleSeq, spentTokens, resolvedKeyedSeq, resolvedKeyedTokens, bound);
     }
 
     /** Returns whether every bill is in the ledger and none is open. */
@@ -207,7 +243,9 @@
         holders.clear();
         resolvedOutOfOrder.clear();
         shareId = newShareId;
+        bounds.clear();
         grantedTokens = 0;
+        limitTokens = 0;
         spentTokens = 0;
         reservedTokens = 0;
         requestSeq = 0;
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -37,6 +37,8 @@
      * @param reserveMillis they leave no more than the fleet's demand of this time; 0 for no such bound
      * @param settleMillis the shortest time between two reports of bills
      * @param noticeMillis the shortest time between two notices that a share is short
+     * @param boundMillis for how long a stated bound keeps a router from spending more; 0 to state none and spend the whole
+     *     grant at any time
      */
     public record Tuning(
             double demandSmoothing,
@@ -49,9 +51,10 @@
             double reserveFraction,
             long reserveMillis,
             long settleMillis,
-            long noticeMillis) {
-        /** Measures demand slowly, holds nothing before, reports bills at once. */
-        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 0, 1_000);
+            long noticeMillis,
+            long boundMillis) {
+        /** Measures demand slowly, holds nothing before, reports bills at once, spends the whole grant at any time. */
+        public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 0, 1_000, 0);
     }
 
     /** The setting for ordinary days. */
--- /dev/null
+++ b/src/main/java/org/radishspan/budget/ShareSizing.java
@@ -0,0 +1,146 @@
+package org.radishspan.budget;
+
+import java.util.function.IntSupplier;
+
+/** Decides how much of a budget a router holds and how much of that it may spend without telling the ledger. */
+final class ShareSizing {
+    private static final long RATE_PERIOD_MILLIS = 1_000;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double EXCESS_FACTOR = 1.25;
+    private static final double CALL_SMOOTHING = 0.05;
+
+    /** Standard deviations beyond the mean; a share that runs short of its bound waits for one write of the ledger only. */
+    private static final double UNREPORTED_SAFETY_FACTOR = 0.25;
+
+    private SharePolicy policy;
+    private SharePolicy.Tuning tuning = SharePolicy.Tuning.USUAL;
+    private IntSupplier routerCount = () -> 1;
+    private double typicalCallTokens;
+    private double squaredCallTokens;
+
+    ShareSizing(SharePolicy policy) {
+        this.policy = policy;
+    }
+
+    void useTuning(SharePolicy.Tuning newTuning, IntSupplier routers) {
+        tuning = newTuning;
+        routerCount = routers;
+    }
+
+    void usePolicy(SharePolicy newPolicy) {
+        policy = newPolicy;
+    }
+
+    SharePolicy policy() {
+        return policy;
+    }
+
+    SharePolicy.Tuning tuning() {
+        return tuning;
+    }
+
+    /** Learns the usual size of calls. */
+    void noteCall(Share share, long tokens) {
+        share.noteCall(tokens);
+        typicalCallTokens =
+                typicalCallTokens == 0 ? tokens : typicalCallTokens + CALL_SMOOTHING * (tokens - typicalCallTokens);
+        double square = (double) tokens * tokens;
+        squaredCallTokens =
+                squaredCallTokens == 0 ? square : squaredCallTokens + CALL_SMOOTHING * (square - squaredCallTokens);
+    }
+
+    /** Measures the demand of the last second or so. */
+    void measureDemand(Share share, long elapsedMillis) {
+        if (elapsedMillis > RATE_PERIOD_MILLIS * 2) {
+            share.demandTokens = 0;
+            return;
+        }
+        double rate = share.demandTokens * MILLIS_PER_SECOND / elapsedMillis;
+        share.demandSeconds++;
+        double weight = Math.max(tuning.demandSmoothing(), 1.0 / share.demandSeconds);
+        share.demandTokensPerSecond += weight * (rate - share.demandTokensPerSecond);
+        share.callsSeen *= 1 - tuning.demandSmoothing();
+        share.demandTokens = 0;
+    }
+
+    /** Returns the tokens beyond which a share gives back what exceeds its aim. */
+    double excessTokens(Share share, long targetTokens) {
+        double slack = tuning.callsHeld() * usualCallTokens(share);
+        return share.wantedElsewhere ? targetTokens : targetTokens * EXCESS_FACTOR + slack;
+    }
+
+    /**
+     * Returns the tokens that a router may spend before it has told the ledger: the demand of the time for which it keeps to
+     * a stated bound, as the ledger may stop answering at any moment.
+     */
+    long unreportedTokens(Share share) {
+        double demand = expectedDemand(share) * tuning.boundMillis() / MILLIS_PER_SECOND;
+        double deviation = Math.sqrt(demand * sizeBiasedCallTokens());
+        double start = (double) startTokens(share) * tuning.boundMillis() / policy.horizonMillis();
+        return (long) Math.max(start, demand + UNREPORTED_SAFETY_FACTOR * deviation);
+    }
+
+    /** Returns what the share should have available: the demand of the horizon, within its fair part of what is left. */
+    long targetTokens(Share share) {
+        long horizonMillis = share.horizonMillis > 0 ? share.horizonMillis : policy.horizonMillis();
+        double demand = expectedDemand(share) * horizonMillis / MILLIS_PER_SECOND;
+        double deviation = Math.sqrt(demand * sizeBiasedCallTokens());
+        double spare = tuning.callsHeld() * usualCallTokens(share) + tuning.safetyFactor() * deviation;
+        long few = Math.max(policy.minimumGrantTokens(), (long) spare);
+        long wanted = (long) demand + few;
+        if (!share.accountSeen) {
+            return wanted;
+        }
+        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
+        double own = expectedDemand(share);
+        double part = (own + 1) / (share.demandTokensPerSecond + others + 1);
+        long fair = (long) (heldTokens(share) * part) - share.reservedTokens;
+        return Math.max(startTokens(share), Math.max(0, Math.min(wanted, fair)));
+    }
+
+    /** Returns the unspent tokens of the whole fleet without those that ended processes took with them. */
+    private static long spendableTokens(Share share) {
+        return Math.max(0, share.unspentTokens - share.forfeitedTokens);
+    }
+
+    /** Returns what all shares together aim at. */
+    private double heldTokens(Share share) {
+        long spendable = spendableTokens(share);
+        if (tuning.reserveFraction() == 0) {
+            return spendable * policy.heldFraction();
+        }
+        return spendable
+                - GrantRule.reserveTokens(
+                        spendable, share.fleetDemandTokensPerSecond, tuning.reserveFraction(), tuning.reserveMillis());
+    }
+
+    /** Returns a router's demand, drawn towards the mean of all routers. */
+    private double expectedDemand(Share share) {
+        double priorCalls = share.accountSeen ? tuning.priorCalls() : 0;
+        double shrinkage = priorCalls == 0 ? 0 : priorCalls / (priorCalls + share.callsSeen);
+        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
+        double mean = (share.demandTokensPerSecond + others) / Math.max(1, routerCount.getAsInt());
+        return shrinkage * mean + (1 - shrinkage) * share.demandTokensPerSecond;
+    }
+
+    /** Returns by how much a call usually changes a sum of calls: the mean square over the mean. */
+    private double sizeBiasedCallTokens() {
+        return typicalCallTokens == 0 ? 0 : squaredCallTokens / typicalCallTokens;
+    }
+
+    /** Returns the usual size of a call; that of all budgets where this one has had smaller calls or none. */
+    private double usualCallTokens(Share share) {
+        boolean prepared = tuning.startFraction() > 0;
+        return prepared ? Math.max(share.typicalCallTokens, typicalCallTokens) : share.typicalCallTokens;
+    }
+
+    /** Returns what a share has before demand is measured: an equal part for each router. */
+    private long startTokens(Share share) {
+        boolean measured = share.demandSeconds * RATE_PERIOD_MILLIS >= policy.horizonMillis();
+        if (measured) {
+            return 0;
+        }
+        double part = tuning.startFraction() / Math.max(1, routerCount.getAsInt());
+        return (long) (spendableTokens(share) * part) - share.reservedTokens;
+    }
+}
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -13,6 +13,7 @@
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.proto.LedgerResult;
+import org.radishspan.proto.SpendingBound;
 
 /**
  * Takes, spends, settles and gives back shares of budgets.
@@ -50,12 +51,11 @@
      *
      * @param vm the VM's name
      * @param incarnation the id of this process, new with each start
+     * @param bootId the boot of the VM; 0 if it is not known
      */
-    public record Identity(String vm, String incarnation) {}
+    public record Identity(String vm, String incarnation, long bootId) {}
 
     private static final long RATE_PERIOD_MILLIS = 1_000;
-    private static final double MILLIS_PER_SECOND = 1_000.0;
-    private static final double EXCESS_FACTOR = 1.25;
 
     /** A ledger that has not answered for so long is taken for unreachable: it answers in some ten milliseconds. */
     private static final long LEDGER_SILENT_MILLIS = 500;
@@ -66,8 +66,6 @@
     /** When a share that was not filled up asks again, unless calls wait. */
     private static final long FILL_RETRY_MILLIS = 1_000;
 
-    private static final double CALL_SMOOTHING = 0.05;
-
     private final Identity identity;
     private final LedgerGateway ledgers;
     private final ShareTable table = new ShareTable();
@@ -75,12 +73,8 @@
     private final BillFlow bills;
     private final HolderChoice holderChoice;
     private final ShareCounters counters = new ShareCounters();
-    private SharePolicy policy;
-    private SharePolicy.Tuning tuning = SharePolicy.Tuning.USUAL;
-    private IntSupplier routerCount = () -> 1;
+    private final ShareSizing sizing;
     private long shareCount;
-    private double typicalCallTokens;
-    private double squaredCallTokens;
     private long askedAtMillis;
     private long rateAtMillis;
     private long nowMillis;
@@ -95,9 +89,9 @@
             HolderChoice holderChoice) {
         this.identity = identity;
         this.ledgers = ledgers;
-        this.policy = policy;
+        this.sizing = new ShareSizing(policy);
         this.shortage = shortage;
-        this.bills = new BillFlow(ledgers, handover, counters, this::lose);
+        this.bills = new BillFlow(ledgers, handover, counters, this::lose, this::stateBound);
         this.holderChoice = holderChoice;
     }
 
@@ -107,8 +101,7 @@
      * @param routers how many routers share a budget
      */
     public void useTuning(SharePolicy.Tuning newTuning, IntSupplier routers) {
-        tuning = newTuning;
-        routerCount = routers;
+        sizing.useTuning(newTuning, routers);
     }
 
     /** Holds a share of a budget from now on, before the first call that needs it. */
@@ -137,31 +130,30 @@
 
     /** Puts another policy in force. */
     public void usePolicy(SharePolicy newPolicy) {
-        policy = newPolicy;
+        sizing.usePolicy(newPolicy);
     }
 
     /** Returns the policy in force. */
     public SharePolicy policy() {
-        return policy;
+        return sizing.policy();
     }
 
     /** Reserves tokens now or as soon as the share has them; refused when none came in time. */
     public void reserve(String budget, long tokens, Consumer<Either<Failure, Reservation>> done) {
         Share share = table.getOrCreate(budget, this::newShare);
         share.usedAtMillis = nowMillis;
-        share.noteCall(tokens);
-        typicalCallTokens =
-                typicalCallTokens == 0 ? tokens : typicalCallTokens + CALL_SMOOTHING * (tokens - typicalCallTokens);
-        double square = (double) tokens * tokens;
-        squaredCallTokens =
-                squaredCallTokens == 0 ? square : squaredCallTokens + CALL_SMOOTHING * (square - squaredCallTokens);
+        sizing.noteCall(share, tokens);
+        share.refreshLimit(nowMillis);
         if (share.waiters.isEmpty() && share.tryReserve(tokens)) {
             done.accept(Either.right(new Reservation(budget, share.shareId, tokens)));
             return;
         }
         share.waiters.add(new Share.Waiter(
                 tokens,
-                nowMillis + (ledgerSilentMillis() > 0 ? SILENT_WAIT_MILLIS : policy.waitMillis()),
+                nowMillis
+                        + (ledgerSilentMillis() > 0
+                                ? SILENT_WAIT_MILLIS
+                                : sizing.policy().waitMillis()),
                 result -> done.accept(result.map(ok -> new Reservation(budget, share.shareId, tokens)))));
     }
 
@@ -216,12 +208,13 @@
     /** Runs over all shares. */
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
-        bills.startTick(tickMillis, policy, tuning);
+        bills.startTick(tickMillis, sizing.policy(), tuning());
         boolean measure = tickMillis - rateAtMillis >= RATE_PERIOD_MILLIS;
         for (Share share : List.copyOf(table.rows())) {
             if (measure) {
-                measureDemand(share, tickMillis - rateAtMillis);
+                sizing.measureDemand(share, tickMillis - rateAtMillis);
             }
+            share.refreshLimit(tickMillis);
             serveWaiters(share);
             bills.settle(share);
             bills.handOver(share);
@@ -232,19 +225,6 @@
         }
     }
 
-    private void measureDemand(Share share, long elapsedMillis) {
-        if (elapsedMillis > RATE_PERIOD_MILLIS * 2) {
-            share.demandTokens = 0;
-            return;
-        }
-        double rate = share.demandTokens * MILLIS_PER_SECOND / elapsedMillis;
-        share.demandSeconds++;
-        double weight = Math.max(tuning.demandSmoothing(), 1.0 / share.demandSeconds);
-        share.demandTokensPerSecond += weight * (rate - share.demandTokensPerSecond);
-        share.callsSeen *= 1 - tuning.demandSmoothing();
-        share.demandTokens = 0;
-    }
-
     private void serveWaiters(Share share) {
         while (!share.waiters.isEmpty()) {
             Share.Waiter waiter = share.waiters.peek();
@@ -272,76 +252,12 @@
         }
         if (share.exhausted) {
             return Failure.notRun(ErrorKind.BUDGET_EXHAUSTED, "budget " + share.budget + " has too few unspent tokens")
-                    .retryAfter(policy.waitMillis());
+                    .retryAfter(sizing.policy().waitMillis());
         }
         return Failure.notRun(
                         ErrorKind.PLATFORM_UNAVAILABLE,
                         "the share of budget " + share.budget + " is used up and the ledger does not answer")
-                .retryAfter(policy.waitMillis());
-    }
-
-    /** Returns what the share should have available: the demand of the horizon, within its fair part of what is left. */
-    private long targetTokens(Share share) {
-        long horizonMillis = share.horizonMillis > 0 ? share.horizonMillis : policy.horizonMillis();
-        double demand = expectedDemand(share) * horizonMillis / MILLIS_PER_SECOND;
-        double deviation = Math.sqrt(demand * sizeBiasedCallTokens());
-        double spare = tuning.callsHeld() * usualCallTokens(share) + tuning.safetyFactor() * deviation;
-        long few = Math.max(policy.minimumGrantTokens(), (long) spare);
-        long wanted = (long) demand + few;
-        if (!share.accountSeen) {
-            return wanted;
-        }
-        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
-        double own = expectedDemand(share);
-        double part = (own + 1) / (share.demandTokensPerSecond + others + 1);
-        long fair = (long) (heldTokens(share) * part) - share.reservedTokens;
-        return Math.max(startTokens(share), Math.max(0, Math.min(wanted, fair)));
-    }
-
-    /** Returns the unspent tokens of the whole fleet without those that ended processes took with them. */
-    private static long spendableTokens(Share share) {
-        return Math.max(0, share.unspentTokens - share.forfeitedTokens);
-    }
-
-    /** Returns what all shares together aim at. */
-    private double heldTokens(Share share) {
-        long spendable = spendableTokens(share);
-        if (tuning.reserveFraction() == 0) {
-            return spendable * policy.heldFraction();
-        }
-        return spendable
-                - GrantRule.reserveTokens(
-                        spendable, share.fleetDemandTokensPerSecond, tuning.reserveFraction(), tuning.reserveMillis());
-    }
-
-    /** Returns a router's demand, drawn towards the mean of all routers. */
-    private double expectedDemand(Share share) {
-        double priorCalls = share.accountSeen ? tuning.priorCalls() : 0;
-        double shrinkage = priorCalls == 0 ? 0 : priorCalls / (priorCalls + share.callsSeen);
-        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
-        double mean = (share.demandTokensPerSecond + others) / Math.max(1, routerCount.getAsInt());
-        return shrinkage * mean + (1 - shrinkage) * share.demandTokensPerSecond;
-    }
-
-    /** Returns by how much a call usually changes a sum of calls: the mean square over the mean. */
-    private double sizeBiasedCallTokens() {
-        return typicalCallTokens == 0 ? 0 : squaredCallTokens / typicalCallTokens;
-    }
-
-    /** Returns the usual size of a call; that of all budgets where this one has had smaller calls or none. */
-    private double usualCallTokens(Share share) {
-        boolean prepared = tuning.startFraction() > 0;
-        return prepared ? Math.max(share.typicalCallTokens, typicalCallTokens) : share.typicalCallTokens;
-    }
-
-    /** Returns what a share has before demand is measured: an equal part for each router. */
-    private long startTokens(Share share) {
-        boolean measured = share.demandSeconds * RATE_PERIOD_MILLIS >= policy.horizonMillis();
-        if (measured) {
-            return 0;
-        }
-        double part = tuning.startFraction() / Math.max(1, routerCount.getAsInt());
-        return (long) (spendableTokens(share) * part) - share.reservedTokens;
+                .retryAfter(sizing.policy().waitMillis());
     }
 
     private void adjust(Share share) {
@@ -350,48 +266,52 @@
         if (share.requestInFlight || !due) {
             return;
         }
-        if (nowMillis - share.usedAtMillis >= tuning.idleMillis() && share.settled() && share.waiters.isEmpty()) {
+        if (nowMillis - share.usedAtMillis >= tuning().idleMillis() && share.settled() && share.waiters.isEmpty()) {
             retire(share);
             return;
         }
-        long waiting = waitingTokens(share);
-        long available = share.availableTokens();
-        long target = targetTokens(share);
-        if (waiting > available) {
+        long waiting = share.waitingTokens();
+        long unused = share.unusedTokens();
+        long target = sizing.targetTokens(share);
+        if (waiting > unused) {
             // What fills the share up is asked for apart where the ledger keeps a reserve for calls that wait.
-            long fill = tuning.reserveFraction() > 0 ? 0 : target;
-            requestGrant(share, waiting - available + fill, shortestNeed(share) - available);
+            long fill = tuning().reserveFraction() > 0 ? 0 : target;
+            requestGrant(share, waiting - unused + fill, share.firstWaitingTokens() - unused);
             return;
         }
-        boolean wanted = share.demandTokensPerSecond >= 1 || tuning.startFraction() > 0;
-        if (available < (long) (target * tuning.lowWaterFraction()) && wanted) {
-            requestGrant(share, target - available, 0);
+        boolean wanted = share.demandTokensPerSecond >= 1 || tuning().startFraction() > 0;
+        if (unused < (long) (target * tuning().lowWaterFraction()) && wanted) {
+            requestGrant(share, target - unused, 0);
             return;
         }
-        double slack = tuning.callsHeld() * usualCallTokens(share);
-        double keep = share.wantedElsewhere ? target : target * EXCESS_FACTOR + slack;
-        if (available > (long) keep) {
-            giveBack(share, available - target);
+        if (unused > (long) sizing.excessTokens(share, target)) {
+            giveBack(share, unused - target);
         }
     }
 
-    private static long waitingTokens(Share share) {
-        long total = 0;
-        for (Share.Waiter waiter : share.waiters) {
-            total += waiter.tokens();
-        }
-        return total;
+    private SharePolicy.Tuning tuning() {
+        return sizing.tuning();
     }
 
-    private static long shortestNeed(Share share) {
-        Share.Waiter first = share.waiters.peek();
-        return first == null ? 0 : first.tokens();
+    /** Says how far this router spends a share until it is heard again, to go with a change of the ledger. */
+    private SpendingBound stateBound(Share share, long mostTokens) {
+        long validMillis = tuning().boundMillis();
+        if (validMillis == 0) {
+            return SpendingBound.getDefaultInstance();
+        }
+        long usable = share.usedTokens() + share.waitingTokens() + sizing.unreportedTokens(share);
+        return share.bounds.state(SpendingBound.newBuilder()
+                .setUsableTokens(Math.min(mostTokens, usable))
+                .setBootId(identity.bootId())
+                .setAtMillis(nowMillis)
+                .setValidMillis(validMillis)
+                .build());
     }
 
     private void requestGrant(Share share, long tokens, long minimumTokens) {
         share.requestInFlight = true;
         share.requestSeq++;
-        share.nextRequestAtMillis = nowMillis + policy.retryMillis();
+        share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
         share.nextUrgentAtMillis = share.nextRequestAtMillis;
         String askedFor = share.shareId;
         List<String> holders = holdersToRecord(share);
@@ -403,13 +323,23 @@
                 tokens,
                 minimumTokens,
                 reportDemand(share),
-                holders);
+                holders,
+                stateBound(share, Long.MAX_VALUE));
         counters.grantRequests++;
         noteAsked();
         ledgers.submit(
                 share.partition,
-                LedgerOps.grant(share.budget, request, policy.freeFraction(), tuning),
-                result -> onRequestDone(share, askedFor, minimumTokens, holders, result));
+                LedgerOps.grant(share.budget, request, sizing.policy().freeFraction(), tuning()),
+                result -> {
+                    noteBound(share, askedFor, request.bound(), result);
+                    onRequestDone(share, askedFor, minimumTokens, holders, result);
+                });
+    }
+
+    static void noteBound(Share share, String askedFor, SpendingBound sent, LedgerResult result) {
+        if (share.shareId.equals(askedFor) && result.hasShare()) {
+            share.bounds.onCommitted(sent, result.getShare().getBound());
+        }
     }
 
     private void noteAsked() {
@@ -427,7 +357,7 @@
         if (share.heldSettleSeq > share.committedSettleSeq) {
             return new ArrayList<>(share.holders);
         }
-        List<String> chosen = holderChoice.choose(policy.holderCount());
+        List<String> chosen = holderChoice.choose(sizing.policy().holderCount());
         // A holder that the ledger is about to forget may not vouch for a bill any more.
         share.holders.retainAll(chosen);
         return chosen;
@@ -462,13 +392,14 @@
             onExhausted(share, minimumTokens);
         }
         observe(share, result);
+        share.refreshLimit(nowMillis);
         serveWaiters(share);
     }
 
     private void onExhausted(Share share, long minimumTokens) {
         counters.shortages++;
         if (nowMillis >= share.nextNoticeAtMillis) {
-            share.nextNoticeAtMillis = nowMillis + tuning.noticeMillis();
+            share.nextNoticeAtMillis = nowMillis + tuning().noticeMillis();
             shortage.announce(share.budget, share.shareId, minimumTokens);
         }
     }
@@ -507,7 +438,8 @@
         share.requestInFlight = true;
         share.requestSeq++;
         share.grantedTokens -= tokens;
-        share.nextRequestAtMillis = nowMillis + policy.retryMillis();
+        share.refreshLimit(nowMillis);
+        share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
         String askedFor = share.shareId;
         counters.giveBacks++;
         noteAsked();
@@ -523,7 +455,7 @@
         if (share == null || share.requestInFlight) {
             return;
         }
-        long spare = share.availableTokens() - waitingTokens(share);
+        long spare = share.unusedTokens() - share.waitingTokens();
         if (spare <= 0) {
             return;
         }
--- a/src/main/java/org/radishspan/front/FrontProcess.java
+++ b/src/main/java/org/radishspan/front/FrontProcess.java
@@ -95,6 +95,7 @@
         this.settings = settings;
         this.log = EventLog.start(new FileOutputStream(FileDescriptor.out), System::currentTimeMillis);
         this.incarnation = settings.vm() + "-" + randomHex();
+        VmBoot boot = VmBoot.read(VmBoot.KERNEL_FILE);
         HttpTransport transport = new WakingTransport(new HttpClient(group), this::wake);
         ObjectApi store = new ObjectApi(transport, settings.store().address());
         RouterEntry self = new RouterEntry(
@@ -113,6 +114,7 @@
                         new LatePeerLink(),
                         RandomSource.XO_SHI_RO_256_PP.create(),
                         FrontProcess::nowMillis,
+                        boot.id(),
                         log,
                         meters));
         this.peerTransport = new PeerTransport(
@@ -125,6 +127,9 @@
                 .with("vm", settings.vm())
                 .with("incarnation", incarnation)
                 .with("failure_domain", settings.failureDomain())
+                .with("boot_id", Long.toHexString(boot.id()))
+                .with("boot_id_unknown_because", boot.unknownBecause())
+                .with("steady_ms", nowMillis())
                 .with("callers", settings.callerAddress().toString())
                 .with("store", settings.store().address().toString())
                 .write();
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -67,7 +67,8 @@
      * @param protocol how requests look there
      * @param peerLink the way to other routers
      * @param random for jitter and choices
-     * @param clockMillis a clock that never steps
+     * @param clockMillis the steady clock of the VM, which never steps and goes on when a process ends
+     * @param bootId the boot of the VM since which that clock runs; 0 if it is not known
      * @param log the structured log
      * @param meters where counters and histograms are registered
      */
@@ -79,6 +80,7 @@
             PeerLink peerLink,
             UniformRandomProvider random,
             LongSupplier clockMillis,
+            long bootId,
             EventLog log,
             MeterRegistry meters) {}
 
@@ -94,8 +96,28 @@
     /** What stays in the ledger serves the fleet until it has recovered from a loss of all routers, 12 s at the users' sites. */
     private static final long RESERVE_MILLIS = 12_000;
 
+    /** The shortest time between two reports of a share; a successor must find the last one still valid. */
+    private static final long SETTLE_MILLIS = 400;
+
+    /**
+     * A router that was killed runs again within 1.6 s at the users' sites; the time since its last report and that of a write
+     * come on top.
+     */
+    private static final long BOUND_MILLIS = 2_300;
+
     private static final SharePolicy.Tuning SHARE_TUNING = new SharePolicy.Tuning(
-            0.1, 4, START_FRACTION, 600_000, 0.8, 1, 1.2, 1 - HELD_FRACTION, RESERVE_MILLIS, 1_000, 200);
+            0.1,
+            4,
+            START_FRACTION,
+            600_000,
+            0.8,
+            1,
+            1.2,
+            1 - HELD_FRACTION,
+            RESERVE_MILLIS,
+            SETTLE_MILLIS,
+            200,
+            BOUND_MILLIS);
 
     private static final SharePolicy SHARE_POLICY =
             new SharePolicy(HORIZON_MILLIS, 0.5, HELD_FRACTION, 256, 800, 100, 500, 0);
@@ -129,6 +151,7 @@
     private final Ports ports;
     private final VmSettings settings;
     private final RouterEntry self;
+    private final long startMillis;
     private final ConfigurationInForce configuration;
     private final KindWatch<DeploymentConfiguration> configurationWatch;
     private final TargetTable targets = new TargetTable();
@@ -156,6 +179,7 @@
         this.ports = ports;
         this.settings = settings;
         this.self = self;
+        this.startMillis = ports.clockMillis().getAsLong();
         this.configuration = new ConfigurationInForce(ConfigurationCodec.NAME, ports.log(), this::onConfiguration);
         this.configurationWatch = watch(ConfigurationCodec.KIND, ConfigurationCodec::decode, configuration, ports);
         this.targetDirectory = new TargetDirectory(
@@ -180,7 +204,7 @@
                 this::requestsInProgress);
         this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers), COMBINER_ANSWER_MILLIS);
         this.shares = new ShareSystem(
-                new ShareSystem.Identity(self.vm(), self.incarnation()),
+                new ShareSystem.Identity(self.vm(), self.incarnation(), ports.bootId()),
                 gateway,
                 SHARE_POLICY,
                 peers::announceShortage,
@@ -246,7 +270,10 @@
         if (!earlierClosed) {
             earlierClosed = true;
             for (SharedObject<LedgerBook> ledger : ledgers.all()) {
-                ledger.submit(Ledger.closeEarlier(self.vm(), self.incarnation()), this::onEarlierClosed);
+                ledger.submit(
+                        Ledger.closeEarlier(
+                                new Ledger.ProcessStart(self.vm(), self.incarnation(), ports.bootId(), startMillis)),
+                        this::onEarlierClosed);
             }
         }
         for (Workspace workspace : adopted.workspaces()) {
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -115,7 +115,7 @@
                 this::requestsInProgress);
         this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers));
         this.shares = new ShareSystem(
-                new ShareSystem.Identity(settings.vm(), incarnation),
+                new ShareSystem.Identity(settings.vm(), incarnation, 0),
                 gateway,
                 settings.shares(),
                 peers::announceShortage,
--- a/src/test/java/org/radishspan/budget/LedgerGatewayTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerGatewayTest.java
@@ -10,6 +10,7 @@
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
 import org.radishspan.proto.LedgerResult;
+import org.radishspan.proto.SpendingBound;
 import org.radishspan.standin.ObjectTable;
 import org.radishspan.store.CallBudget;
 import org.radishspan.store.SharedObject;
@@ -41,7 +42,8 @@
         Harness() {
             ledgers.of("w").submit(AccountChanges.adoptLimit("w", 1_000, 1), result -> {});
             pass(100);
-            Ledger.GrantRequest request = new Ledger.GrantRequest("vm-0.1", "vm-0", "vm", 1, 400, 400, 0, List.of());
+            Ledger.GrantRequest request = new Ledger.GrantRequest(
+                    "vm-0.1", "vm-0", "vm", 1, 400, 400, 0, List.of(), SpendingBound.getDefaultInstance());
             gateway.submit(0, LedgerOps.grant("w", request, 1, SharePolicy.Tuning.USUAL), results::add);
             pass(10);
         }
--- a/src/test/java/org/radishspan/budget/LedgerTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerTest.java
@@ -7,6 +7,7 @@
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.proto.AccountState;
+import org.radishspan.proto.SpendingBound;
 import org.radishspan.store.SharedObject.Mutation;
 import org.testng.annotations.Test;
 
@@ -49,7 +50,16 @@
     private static Mutation<LedgerBook> grant(String share, long seq, long tokens, String... holders) {
         return Ledger.grant(
                 BUDGET,
-                new Ledger.GrantRequest(share, share.substring(0, 2), "vm", seq, tokens, 0, 0, List.of(holders)),
+                new Ledger.GrantRequest(
+                        share,
+                        share.substring(0, 2),
+                        "vm",
+                        seq,
+                        tokens,
+                        0,
+                        0,
+                        List.of(holders),
+                        SpendingBound.getDefaultInstance()),
                 GrantRule.asAsked());
     }
 
--- a/src/test/java/org/radishspan/budget/PrepaidLimitTest.java
+++ b/src/test/java/org/radishspan/budget/PrepaidLimitTest.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import org.radishspan.error.Failure;
 import org.radishspan.proto.AccountState;
+import org.radishspan.proto.SpendingBound;
 import org.radishspan.store.SharedObject.Mutation;
 import org.testng.annotations.Test;
 
@@ -30,7 +31,16 @@
     }
 
     private static Ledger.GrantRequest request(String vm, long seq, long tokens, long minimumTokens) {
-        return new Ledger.GrantRequest(vm + "-1.1", vm + "-1", vm, seq, tokens, minimumTokens, 0, List.of());
+        return new Ledger.GrantRequest(
+                vm + "-1.1",
+                vm + "-1",
+                vm,
+                seq,
+                tokens,
+                minimumTokens,
+                0,
+                List.of(),
+                SpendingBound.getDefaultInstance());
     }
 
     /** Adopted limits. */
@@ -84,7 +94,8 @@
         @Test
         public void isNoMoreThanTheFleetNeedsUntilItHasRecovered() {
             GrantRule rule = GrantRule.keepingReserve(0.5, 2_000, GrantRule.asAsked());
-            Ledger.GrantRequest request = new Ledger.GrantRequest("a-1.1", "a-1", "a", 1, 10, 0, 100, List.of());
+            Ledger.GrantRequest request = new Ledger.GrantRequest(
+                    "a-1.1", "a-1", "a", 1, 10, 0, 100, List.of(), SpendingBound.getDefaultInstance());
             LedgerBook book = apply(withLimit(1_000), Ledger.grant("w", request, rule));
             book = apply(book, Ledger.grant("w", request("b", 1, 900, 0), rule));
             assertEquals(account(book).getShares(1).getGrantedTokens(), 790, "two seconds of 100 a second stay");
@@ -93,7 +104,7 @@
         @Test
         public void isThatOfWhatCanStillBeSpent() {
             LedgerBook book = apply(withLimit(1_000), Ledger.grant("w", request("a", 1, 400, 0), HALF_KEPT));
-            book = apply(book, Ledger.closeEarlier("a", "a-2"));
+            book = apply(book, Ledger.closeEarlier(new Ledger.ProcessStart("a", "a-2", 0, 0)));
             book = apply(book, Ledger.grant("w", request("b", 1, 900, 0), HALF_KEPT));
             assertEquals(account(book).getShares(1).getGrantedTokens(), 300, "half of the 600 that are left");
         }
@@ -104,7 +115,7 @@
         @Test
         public void leaveTheirSharesClosedButCounted() {
             LedgerBook book = apply(withLimit(1_000), Ledger.grant("w", request("a", 1, 400, 0), GrantRule.asAsked()));
-            book = apply(book, Ledger.closeEarlier("a", "a-2"));
+            book = apply(book, Ledger.closeEarlier(new Ledger.ProcessStart("a", "a-2", 0, 0)));
             assertEquals(Accounts.forfeitedTokens(account(book)), 400);
             assertEquals(Accounts.freeTokens(account(book)), 600, "what they may have spent is never granted again");
             assertTrue(Ledger.grant("w", request("a", 2, 100, 0), GrantRule.asAsked())
@@ -115,7 +126,7 @@
         @Test
         public void onOtherVmsAreLeftAlone() {
             LedgerBook book = apply(withLimit(1_000), Ledger.grant("w", request("a", 1, 400, 0), GrantRule.asAsked()));
-            assertEquals(apply(book, Ledger.closeEarlier("b", "b-2")), book);
+            assertEquals(apply(book, Ledger.closeEarlier(new Ledger.ProcessStart("b", "b-2", 0, 0))), book);
         }
     }
 }
--- a/src/test/java/org/radishspan/relay/RelayHarness.java
+++ b/src/test/java/org/radishspan/relay/RelayHarness.java
@@ -225,7 +225,7 @@
                 new SharedObject.Ports(
                         new SilentStore(), new CallBudget(100, 100), new CallBudget(100, 100), random, 100));
         shares = new ShareSystem(
-                new ShareSystem.Identity("vm", "vm-1"),
+                new ShareSystem.Identity("vm", "vm-1", 0),
                 new LedgerGateway(ledgers, new NoCombiners()),
                 SharePolicy.DEFAULT,
                 (budget, shareId, tokens) -> {},
--- a/src/test/java/org/radishspan/spec/ModelCheckTest.java
+++ b/src/test/java/org/radishspan/spec/ModelCheckTest.java
@@ -62,14 +62,52 @@
         assertEquals(result, INVARIANT_VIOLATED);
     }
 
+    @Test
+    public void tokensThatAreFreeAgainWereNeverSpent() throws Exception {
+        assertEquals(checkBounds("none"), NO_ERROR);
+    }
+
+    @DataProvider
+    public Object[][] boundFaults() {
+        return new Object[][] {
+            {"timeOfRepeat"}, {"olderBoundWins"}, {"equalTimeReplaces"}, {"unansweredIgnored"}, {"ageNotChecked"}
+        };
+    }
+
+    @Test(dataProvider = "boundFaults")
+    public void theCheckerFindsAFaultOfSpendingBounds(String fault) throws Exception {
+        assertEquals(checkBounds(fault), INVARIANT_VIOLATED);
+    }
+
     private static int check(String plain, String keyed, String reclaim, String fault) throws Exception {
+        return check(MODULE, configuration(plain, keyed, reclaim, fault));
+    }
+
+    private static int checkBounds(String fault) throws Exception {
+        return check(
+                "SpendingBounds",
+                String.join(
+                        "\n",
+                        "SPECIFICATION Spec",
+                        "CONSTANTS",
+                        "  Granted = 2",
+                        "  Valid = 2",
+                        "  LastTick = 4",
+                        "  MostBounds = 3",
+                        "  Fault = \"" + fault + "\"",
+                        "INVARIANTS SpentIsCounted",
+                        "CHECK_DEADLOCK FALSE",
+                        ""));
+    }
+
+    private static int check(String name, String configuration) throws Exception {
         Path folder = Files.createTempDirectory("radishspan-spec");
-        Path module = folder.resolve(MODULE + ".tla");
+        Path module = folder.resolve(name + ".tla");
         try (InputStream text = Objects.requireNonNull(
-                ModelCheckTest.class.getResourceAsStream("/spec/" + MODULE + ".tla"), "specification")) {
+                ModelCheckTest.class.getResourceAsStream("/spec/" + name + ".tla"), "specification")) {
             Files.copy(text, module);
         }
-        Files.writeString(folder.resolve(MODULE + ".cfg"), configuration(plain, keyed, reclaim, fault), UTF_8);
+        Files.writeString(folder.resolve(name + ".cfg"), configuration, UTF_8);
         return runChecker(folder, module);
     }
 
