Add 'radishspan explain' and 'radishspan check-config'

The way from a request's id to its cause went through grep and a table of events.

'check-config FILE...' checks INI for 'router' and the platform's JSON for 'serve'.

--- a/src/main/java/org/radishspan/cli/Commands.java
+++ b/src/main/java/org/radishspan/cli/Commands.java
@@ -1,9 +1,8 @@
 package org.radishspan.cli;
 
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -40,6 +39,12 @@
     private Commands() {}
 
     static List<Command> all() {
+        List<Command> commands = new ArrayList<>(running());
+        commands.addAll(InspectionCommands.all());
+        return commands;
+    }
+
+    private static List<Command> running() {
         return List.of(
                 new Command("router", "--config FILE", "run a router on this VM", config(), Commands::router),
                 new Command(
@@ -184,15 +189,7 @@
         if (file == null) {
             throw new Command.UsageException("--config FILE is missing");
         }
-        return new String(readFile(file), UTF_8);
-    }
-
-    private static byte[] readFile(String file) throws Command.UsageException {
-        try {
-            return Files.readAllBytes(Path.of(file));
-        } catch (IOException e) {
-            throw new Command.UsageException("cannot read " + file + ": " + e.getMessage());
-        }
+        return new String(InspectionCommands.readFile(file), UTF_8);
     }
 
     private static int serve(CommandLine line, PrintWriter out) throws Command.UsageException {
@@ -202,7 +199,7 @@
                     "--settings FILE is missing, and the variable " + VmSettingsReader.FILE_VARIABLE + " is not set");
         }
         int metricsPort = line.hasOption("metrics-port") ? number(line, "metrics-port", Integer::parseInt) : 0;
-        byte[] text = readFile(file);
+        byte[] text = InspectionCommands.readFile(file);
         FrontProcess process = FrontProcess.start(Path.of(file), text, valid(VmSettingsReader.read(text)), metricsPort);
         Thread hook = new Thread(() -> Runtime.getRuntime().halt(process.stop().join()));
         Runtime.getRuntime().addShutdownHook(hook);
@@ -211,7 +208,7 @@
         return process.ended().join();
     }
 
-    private static <T> T valid(Either<List<SettingFault>, T> settings) throws Command.UsageException {
+    static <T> T valid(Either<List<SettingFault>, T> settings) throws Command.UsageException {
         if (settings.isLeft()) {
             StringBuilder message = new StringBuilder("the settings have faults:");
             settings.getLeft().forEach(fault -> message.append("\n  ").append(fault));
--- a/src/main/java/org/radishspan/cli/ExitCode.java
+++ b/src/main/java/org/radishspan/cli/ExitCode.java
@@ -6,7 +6,7 @@
 public final class ExitCode {
     /** Done. */
     public static final int OK = 0;
-    /** A check or benchmark missed its target. */
+    /** A check or benchmark missed its target, or no log line is about the request. */
     public static final int CHECK_FAILED = 1;
     /** The command line or a settings file is wrong. */
     public static final int USAGE = 2;
@@ -24,7 +24,7 @@
             System.lineSeparator(),
             "Exit codes:",
             "  0  done",
-            "  1  a check or benchmark missed its target",
+            "  1  a check or benchmark missed its target, or no log line is about the request",
             "  2  the command line or a settings file is wrong",
             "  3  the router refused the command",
             "  4  the router could not be reached; the command may or may not have been carried out",
