Raise bounds where the budget affords them; refuse at once what no router can spare

Change: a bound covers up to 1.5 deviations while that is at most 12% of what can be spent; a call larger than a router's mean part of what can be spent is refused as soon as the ledger has nothing free. Tests: ShareSystemTest (LastTokens.thatCannotServe... fails before).

--- a/src/main/java/org/radishspan/budget/ShareSizing.java
+++ b/src/main/java/org/radishspan/budget/ShareSizing.java
@@ -9,8 +9,14 @@
     private static final double EXCESS_FACTOR = 1.25;
     private static final double CALL_SMOOTHING = 0.05;
 
-    /** Standard deviations beyond the mean; a share that runs short of its bound waits for one write of the ledger only. */
-    private static final double UNREPORTED_SAFETY_FACTOR = 0.25;
+    /** Deviations beyond the mean; a share that runs short of its bound waits for one write of the ledger only. */
+    private static final double LEAST_UNREPORTED_DEVIATIONS = 0.25;
+
+    /** The bound covers 13 of 14 cuts where the budget affords it. */
+    private static final double MOST_UNREPORTED_DEVIATIONS = 1.5;
+
+    /** A loss of all routers may take so much of a budget with it, if that is more than the least bound. */
+    private static final double UNREPORTED_FRACTION = 0.12;
 
     private SharePolicy policy;
     private SharePolicy.Tuning tuning = SharePolicy.Tuning.USUAL;
@@ -69,6 +75,14 @@
         return keptTokens > 0 && spendableTokens(share) - tokens < keptTokens;
     }
 
+    /**
+     * Returns whether a call needs more than a router holds on average of what can still be spent: with nothing free in the
+     * ledger, no other router can spare that much.
+     */
+    boolean isScattered(Share share, long tokens) {
+        return spendableTokens(share) < tokens * Math.max(1, routerCount.getAsInt());
+    }
+
     /** Returns the tokens beyond which a share gives back what exceeds its aim. */
     double excessTokens(Share share, long targetTokens) {
         double slack = tuning.callsHeld() * usualCallTokens(share);
@@ -83,7 +97,16 @@
         double demand = expectedDemand(share) * tuning.boundMillis() / MILLIS_PER_SECOND;
         double deviation = Math.sqrt(demand * sizeBiasedCallTokens());
         double start = (double) startTokens(share) * tuning.boundMillis() / policy.horizonMillis();
-        return (long) Math.max(start, demand + UNREPORTED_SAFETY_FACTOR * deviation);
+        double least = demand + LEAST_UNREPORTED_DEVIATIONS * deviation;
+        double most = demand + MOST_UNREPORTED_DEVIATIONS * deviation;
+        double affordable = UNREPORTED_FRACTION * spendableTokens(share) * partOfDemand(share);
+        return (long) Math.max(start, Math.max(least, Math.min(most, affordable)));
+    }
+
+    /** Returns this router's part of the fleet's demand for a budget. */
+    private double partOfDemand(Share share) {
+        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
+        return (expectedDemand(share) + 1) / (share.demandTokensPerSecond + others + 1);
     }
 
     /** Returns what the share should have available: the demand of the horizon, within its fair part of what is left. */
@@ -97,9 +120,7 @@
         if (!share.accountSeen) {
             return wanted;
         }
-        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
-        double own = expectedDemand(share);
-        double part = (own + 1) / (share.demandTokensPerSecond + others + 1);
+        double part = partOfDemand(share);
         long fair = (long) (heldTokens(share) * part) - share.reservedTokens;
         return Math.max(startTokens(share), Math.max(0, Math.min(wanted, fair)));
     }
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -270,7 +270,8 @@
                 waiter.done().accept(Either.right(null));
                 continue;
             }
-            if (nowMillis < waiter.deadlineMillis() && share.lastFailure == null) {
+            boolean hopeless = share.exhausted && sizing.isScattered(share, waiter.tokens());
+            if (nowMillis < waiter.deadlineMillis() && share.lastFailure == null && !hopeless) {
                 return;
             }
             share.waiters.removeFirst();
--- a/src/test/java/org/radishspan/budget/ShareSystemTest.java
+++ b/src/test/java/org/radishspan/budget/ShareSystemTest.java
@@ -128,6 +128,17 @@
             assertTrue(fleet.served > servedBefore + 40, "served " + (fleet.served - servedBefore));
         }
 
+        @Test
+        public void thatCannotServeACallRefuseItAtOnce() {
+            ShareFleet fleet = fleet(LIMIT_TOKENS, BOUND_MILLIS, 0);
+            fleet.serve(60_000, 1_000, 500, true);
+            int refusedBefore = fleet.refusals.size();
+            fleet.members.get(0).call(5_000, false);
+            fleet.pass(300);
+            assertEquals(fleet.refusals.size() - refusedBefore, 1);
+            assertTrue(fleet.refusals.get(refusedBefore).retryAfterMillis() > 0);
+        }
+
         @Test
         public void serveEveryCallWhereNoneAreKept() {
             ShareFleet fleet = fleet(LIMIT_TOKENS, BOUND_MILLIS, 0);
