Add 'radishspan bench routing': ways to place prompts on virtual time

Exit code 1 if the own one misses the users' objectives (95 of 100 first events in 500 and 800 ms, pauses in 400 ms).

The model's engines have no failures and no priorities.

--- a/src/main/java/org/radishspan/cli/Commands.java
+++ b/src/main/java/org/radishspan/cli/Commands.java
@@ -16,6 +16,7 @@
 import org.apache.commons.cli.Options;
 import org.radishspan.bench.BudgetBench;
 import org.radishspan.bench.CapacityBench;
+import org.radishspan.bench.RoutingBench;
 import org.radishspan.demo.Demo;
 import org.radishspan.front.FrontProcess;
 import org.radishspan.http.Json;
@@ -88,7 +89,7 @@
                 new Command("demo", "", "run a whole fleet on loopback ports", demoOptions(), Commands::demo),
                 new Command(
                         "bench",
-                        "budget|capacity",
+                        "budget|capacity|routing",
                         "measure the decisions on virtual time",
                         benchOptions(),
                         Commands::bench));
@@ -175,12 +176,15 @@
 
     private static int bench(CommandLine line, PrintWriter out) throws Command.UsageException {
         String name = argument(line, 0, "a benchmark");
-        requireAction(name, List.of("budget", "capacity"));
+        requireAction(name, List.of("budget", "capacity", "routing"));
         long seed = line.hasOption("seed") ? number(line, "seed", Long::parseLong) : 1;
         if (name.equals("capacity")) {
             new CapacityBench(out, seed).run();
             return ExitCode.OK;
         }
+        if (name.equals("routing")) {
+            return new RoutingBench(out, seed).run() ? ExitCode.OK : ExitCode.CHECK_FAILED;
+        }
         return new BudgetBench(out, seed).run() ? ExitCode.OK : ExitCode.CHECK_FAILED;
     }
 
