Split admission, share settings and the directory of routers out of their systems

Change: Admission decides by the configuration alone whether a request is served and by whom; ShareSettings holds the figures for shares, each with a name and a line on its source; RouterDirectory enters this router in the store and lists the others. No behaviour meant to change.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -1,10 +1,7 @@
 package org.radishspan.front;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
@@ -18,9 +15,7 @@
 import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.LedgerGateway;
 import org.radishspan.budget.LedgerPartitions;
-import org.radishspan.budget.SharePolicy;
 import org.radishspan.budget.ShareSystem;
-import org.radishspan.deployment.Address;
 import org.radishspan.deployment.ConfigurationInForce;
 import org.radishspan.deployment.DeploymentConfiguration;
 import org.radishspan.deployment.RouterEntry;
@@ -48,7 +43,6 @@
 import org.radishspan.request.StrikeTable;
 import org.radishspan.routing.Target;
 import org.radishspan.routing.TargetTable;
-import org.radishspan.routing.TargetTable.ListedVm;
 import org.radishspan.store.CallBudget;
 import org.radishspan.store.KindWatch;
 import org.radishspan.store.ObjectKinds;
@@ -84,51 +78,6 @@
             EventLog log,
             MeterRegistry meters) {}
 
-    /** A share covers the longest usual cut from the store, 8 to 9 s, and some seconds in which demand is above its mean. */
-    private static final long HORIZON_MILLIS = 9_500;
-
-    /** Before demand is measured all routers together hold this part of a budget: what 8 s of a usual day use. */
-    private static final double START_FRACTION = 0.25;
-
-    /** The rest stays in the ledger for calls that wait, as demand moves between routers. */
-    private static final double HELD_FRACTION = 0.35;
-
-    /** What stays in the ledger serves calls that wait for this time. */
-    private static final long RESERVE_MILLIS = 6_000;
-
-    /** The shortest time between two reports of a share; a successor must find the last one still valid. */
-    private static final long SETTLE_MILLIS = 400;
-
-    /**
-     * A router that was killed runs again within 1.6 s at the users' sites; the time since its last report and that of a write
-     * come on top.
-     */
-    private static final long BOUND_MILLIS = 2_300;
-
-    /**
-     * The last tokens of a budget serve urgent calls, which are short at the users' sites: 4% serve them about as long as the
-     * rest of the day's traffic would take 15%.
-     */
-    private static final double URGENT_FRACTION = 0.04;
-
-    private static final SharePolicy.Tuning SHARE_TUNING = new SharePolicy.Tuning(
-            0.1,
-            4,
-            START_FRACTION,
-            600_000,
-            0.8,
-            1,
-            1.2,
-            1 - HELD_FRACTION,
-            RESERVE_MILLIS,
-            SETTLE_MILLIS,
-            200,
-            BOUND_MILLIS,
-            URGENT_FRACTION);
-
-    private static final SharePolicy SHARE_POLICY =
-            new SharePolicy(HORIZON_MILLIS, 0.5, HELD_FRACTION, 256, 800, 100, 500, 0);
-
     /** The shortest time between two writes of a router to one ledger; the fleet's write rate leaves room for it. */
     private static final long COMMIT_GAP_MILLIS = 100;
 
@@ -153,8 +102,6 @@
     /** Fleets beyond this size do not announce prompts, as the messages grow with the square of the routers. */
     private static final int MAX_NOTICE_PEERS = 16;
 
-    private static final long ANNOUNCE_RETRY_MILLIS = 500;
-
     private final Ports ports;
     private final VmSettings settings;
     private final RouterEntry self;
@@ -164,7 +111,7 @@
     private final TargetTable targets = new TargetTable();
     private final TargetDirectory targetDirectory;
     private final KindWatch<TargetEntry> targetWatch;
-    private final Map<String, RouterEntry> routers = new HashMap<>();
+    private final RouterDirectory routers;
     private final KindWatch<RouterEntry> routerWatch;
     private final SharedObject.Ports objectPorts;
     private final LedgerPartitions ledgers;
@@ -174,9 +121,6 @@
     private final StrikeTable strikes;
     private final RelaySystem relay;
     private boolean earlierClosed;
-    private boolean announced;
-    private boolean announcing;
-    private long announceAtMillis;
     private long configuredAtMillis;
     private boolean draining;
     private boolean sharesReady;
@@ -192,7 +136,6 @@
         this.targetDirectory = new TargetDirectory(
                 targets, this::targetStoreFailedWithin, ports.log(), target -> relay().onTargetEnded(target));
         this.targetWatch = watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, ports);
-        this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, new RouterListener(), ports);
         this.objectPorts = new SharedObject.Ports(
                 ports.store(),
                 new CallBudget(
@@ -209,15 +152,17 @@
                 new PeerHandlers(),
                 configuration::version,
                 this::requestsInProgress);
+        this.routers = new RouterDirectory(self, ports.kinds(), ports.log(), peers::replace);
+        this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, routers, ports);
         this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers), COMBINER_ANSWER_MILLIS);
         this.shares = new ShareSystem(
                 new ShareSystem.Identity(self.vm(), self.incarnation(), ports.bootId()),
                 gateway,
-                SHARE_POLICY,
+                ShareSettings.POLICY,
                 peers::announceShortage,
                 (holder, budget, settlement, accepted) -> accepted.accept(false),
                 count -> List.of());
-        shares.useTuning(SHARE_TUNING, this::routerCount);
+        shares.useTuning(ShareSettings.TUNING, this::routerCount);
         this.strikes = new StrikeTable(peers::announceStrike, CRASHES_BEFORE_QUARANTINE);
         VmSettings.Bounds bounds = settings.bounds();
         this.relay = new RelaySystem(
@@ -248,7 +193,7 @@
     }
 
     private int routerCount() {
-        return Math.max(1, routers.size());
+        return Math.max(1, routers.count());
     }
 
     private void announcePrompt(Target target, long uncachedTokens, List<String> sharedPartIds) {
@@ -375,14 +320,7 @@
     public void drain() {
         draining = true;
         peers.drain();
-        ports.kinds().remove(RouterCodec.KIND, self.vm(), reply -> {
-            if (reply.isLeft()) {
-                ports.log()
-                        .belief("router_entry_left")
-                        .with("reason", reply.getLeft().message())
-                        .write();
-            }
-        });
+        routers.withdraw();
     }
 
     /** Returns whether a drained router holds nothing any more. */
@@ -401,7 +339,7 @@
         targetWatch.tick(nowMillis);
         targetDirectory.tick();
         routerWatch.tick(nowMillis);
-        announce(nowMillis);
+        routers.tick(nowMillis);
         peers.noteStoreAway(storeAway());
         peers.tick(nowMillis);
         relay.tick();
@@ -420,45 +358,6 @@
         objectPorts.writes().setRate(settings.store().fleetWritesPerSecond() * part);
     }
 
-    private void announce(long nowMillis) {
-        if (announced || announcing || draining || nowMillis < announceAtMillis) {
-            return;
-        }
-        announcing = true;
-        ports.kinds().write(RouterCodec.KIND, self.vm(), RouterCodec.encode(self), reply -> {
-            announcing = false;
-            announced = reply.isRight();
-            announceAtMillis = ports.clockMillis().getAsLong() + ANNOUNCE_RETRY_MILLIS;
-        });
-    }
-
-    private final class RouterListener implements KindWatch.Listener<RouterEntry> {
-        @Override
-        public void onPresent(String name, RouterEntry entry) {
-            routers.put(name, entry);
-            updatePeers();
-        }
-
-        @Override
-        public void onAbsent(String name) {
-            routers.remove(name);
-            if (name.equals(self.vm())) {
-                announced = false;
-            }
-            updatePeers();
-        }
-
-        private void updatePeers() {
-            peers.replace(routers.values().stream().map(this::listed).toList());
-        }
-
-        private ListedVm listed(RouterEntry entry) {
-            Address address = entry.peerAddress();
-            return new ListedVm(
-                    entry.vm(), "router", address.host(), address.port(), entry.failureDomain(), false, Set.of());
-        }
-    }
-
     /** What peers ask of this router. */
     private final class PeerHandlers implements PeerSystem.Handlers {
         @Override
--- /dev/null
+++ b/src/main/java/org/radishspan/front/ShareSettings.java
@@ -0,0 +1,98 @@
+package org.radishspan.front;
+
+import org.radishspan.budget.SharePolicy;
+
+/** How much of a budget routers on the users' platform hold, and when they ask for more. */
+final class ShareSettings {
+    /** A share covers the longest usual cut from the store, 8 to 9 s, and some seconds in which demand is above its mean. */
+    private static final long HORIZON_MILLIS = 9_500;
+
+    /** Before demand is measured all routers together hold this part of a budget: what 8 s of a usual day use. */
+    private static final double START_FRACTION = 0.25;
+
+    /** The rest stays in the ledger for calls that wait, as demand moves between routers. */
+    private static final double HELD_FRACTION = 0.35;
+
+    /** What stays in the ledger serves calls that wait for this time. */
+    private static final long RESERVE_MILLIS = 6_000;
+
+    /** The shortest time between two reports of a share; a successor must find the last one still valid. */
+    private static final long SETTLE_MILLIS = 400;
+
+    /**
+     * A router that was killed runs again within 1.6 s at the users' sites; the time since its last report and that of a write
+     * come on top.
+     */
+    private static final long BOUND_MILLIS = 2_300;
+
+    /**
+     * The last tokens of a budget serve urgent calls, which are short at the users' sites: 4% serve them about as long as the
+     * rest of the day's traffic would take 15%.
+     */
+    private static final double URGENT_FRACTION = 0.04;
+
+    /** Measured demand follows the last ten seconds: the users' traffic changes within that. */
+    private static final double DEMAND_SMOOTHING = 0.1;
+
+    /** A router that saw fewer calls of a budget believes the fleet's mean more than its own. */
+    private static final double PRIOR_CALLS = 4;
+
+    /** A workspace without calls for ten minutes is asleep. */
+    private static final long IDLE_MILLIS = 600_000;
+
+    /** A share is filled up when a fifth is gone, about two seconds of demand. */
+    private static final double LOW_WATER_FRACTION = 0.8;
+
+    /** The next call of any workspace is served without asking. */
+    private static final double CALLS_HELD = 1;
+
+    /** A share covers 8 of 9 cuts of the horizon's length. */
+    private static final double SAFETY_DEVIATIONS = 1.2;
+
+    /** Notices that a share is short: each sets off answers of all other routers. */
+    private static final long NOTICE_MILLIS = 200;
+
+    /** One grant leaves as much free as it takes. */
+    private static final double FREE_FRACTION = 0.5;
+
+    /** The size of a short call. */
+    private static final long MINIMUM_GRANT_TOKENS = 256;
+
+    /** Calls wait for tokens no longer than the longest objective for a first event. */
+    private static final long WAIT_MILLIS = 800;
+
+    /** As the shortest time between two writes of a ledger. */
+    private static final long RETRY_MILLIS = 100;
+
+    private static final long HANDOVER_AFTER_MILLIS = 500;
+
+    /** Answers do not wait for their bills, so nobody keeps any for others. */
+    private static final int HOLDERS = 0;
+
+    static final SharePolicy.Tuning TUNING = new SharePolicy.Tuning(
+            DEMAND_SMOOTHING,
+            PRIOR_CALLS,
+            START_FRACTION,
+            IDLE_MILLIS,
+            LOW_WATER_FRACTION,
+            CALLS_HELD,
+            SAFETY_DEVIATIONS,
+            1 - HELD_FRACTION,
+            RESERVE_MILLIS,
+            SETTLE_MILLIS,
+            NOTICE_MILLIS,
+            BOUND_MILLIS,
+            URGENT_FRACTION);
+
+    static final SharePolicy POLICY = new SharePolicy(
+            HORIZON_MILLIS,
+            FREE_FRACTION,
+            HELD_FRACTION,
+            MINIMUM_GRANT_TOKENS,
+            WAIT_MILLIS,
+            RETRY_MILLIS,
+            HANDOVER_AFTER_MILLIS,
+            HOLDERS);
+
+    private ShareSettings() {}
+}
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import io.vavr.control.Either;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.budget.ShareSystem;
 import org.radishspan.deployment.DeploymentConfiguration;
@@ -79,9 +80,6 @@
     /** When callers come back after every target was full; a plain call takes some ten milliseconds. */
     private static final long FULL_RETRY_MILLIS = 200;
 
-    /** When callers come back to another router after this one refused because it stops or has not started. */
-    private static final long OTHER_ROUTER_RETRY_MILLIS = 50;
-
     /** A target gets no request that has less time left than this. */
     private static final long MIN_REMAINING_MILLIS = 10;
 
@@ -108,11 +106,11 @@
     private final RetryBudget retries;
     private final Placement placement;
     private final CrashWatch crashes;
+    private final Admission admission;
     private final TokenMeter tokens;
     private final Set<RelayRequest> rows = new LinkedHashSet<>();
     private final Attempt.Outcomes outcomes = new AttemptOutcomes();
     private long sweptAtMillis;
-    private boolean refusing;
 
     /** Creates the system for a router in a failure domain. */
     public RelaySystem(Ports ports, String failureDomain, RetryBudget.Bound retryBound) {
@@ -121,6 +119,7 @@
         this.retries = new RetryBudget(retryBound);
         this.placement = new Placement(ports.random());
         this.crashes = new CrashWatch(ports.strikes());
+        this.admission = new Admission(crashes, ports.random());
         this.tokens = new TokenMeter(ports.shares(), ports.log());
     }
 
@@ -136,7 +135,7 @@
 
     /** Refuses new requests from now on. */
     public void refuseNew() {
-        refusing = true;
+        admission.refuseNew();
     }
 
     private long now() {
@@ -145,59 +144,23 @@
 
     /** Takes a request; the exchange is answered once, now or later. */
     public void accept(CallerRequest request, CallerExchange exchange) {
-        Optional<DeploymentConfiguration> configuration = ports.configuration().get();
-        if (refusing || configuration.isEmpty()) {
-            ErrorKind kind = refusing ? ErrorKind.DRAINING : ErrorKind.PLATFORM_UNAVAILABLE;
-            String message = refusing ? "this router is stopping" : "this router knows no configuration yet";
-            refuse(request, exchange, Failure.notRun(kind, message).retryAfter(OTHER_ROUTER_RETRY_MILLIS));
-            return;
-        }
-        Optional<Route> route = configuration.get().route(request.host(), request.path());
-        if (route.isEmpty()) {
-            refuse(request, exchange, Failure.notRun(ErrorKind.NOT_FOUND, "no route for this host and path"));
-            return;
-        }
-        Optional<Workspace> workspace = request.callerKey().flatMap(configuration.get()::workspaceOf);
-        boolean keyNeeded = configuration.get().keysNeeded() && !route.get().anonymous();
-        if (keyNeeded && workspace.isEmpty()) {
-            refuse(request, exchange, Failure.notRun(ErrorKind.UNAUTHORIZED, "the caller's key is missing or wrong"));
-            return;
-        }
-        if (request.requestId().isEmpty()) {
-            refuse(request, exchange, Failure.notRun(ErrorKind.INVALID_REQUEST, "the request has no id"));
+        Either<Failure, RelayRequest.Terms> terms =
+                admission.decide(request, ports.configuration().get(), now());
+        if (terms.isLeft()) {
+            refuse(request, exchange, terms.getLeft());
             return;
         }
-        Optional<Failure> quarantined = crashes.refusal(request, now());
-        if (quarantined.isPresent()) {
-            refuse(request, exchange, quarantined.get());
-            return;
-        }
-        admit(row(request, route.get(), workspace, configuration.get(), exchange));
+        RelayRequest row = row(request, terms.get(), exchange);
+        tokens.reserve(row, () -> place(row), failure -> fail(row, failure));
     }
 
-    private RelayRequest row(
-            CallerRequest request,
-            Route route,
-            Optional<Workspace> workspace,
-            DeploymentConfiguration configuration,
-            CallerExchange exchange) {
-        String service = route.serviceFor(ports.random().nextDouble());
+    private RelayRequest row(CallerRequest request, RelayRequest.Terms terms, CallerExchange exchange) {
         long nowMillis = now();
         long waitMillis =
-                Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS));
-        RelayRequest row = new RelayRequest(
-                request,
-                new RelayRequest.Terms(
-                        route,
-                        service,
-                        configuration.service(service),
-                        workspace,
-                        configuration.isDeferrable(route, service, workspace)),
-                exchange,
-                nowMillis,
-                nowMillis + waitMillis);
+                Math.min(terms.route().timeoutMillis(), request.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS));
+        RelayRequest row = new RelayRequest(request, terms, exchange, nowMillis, nowMillis + waitMillis);
         rows.add(row);
-        retries.onRequest(service, nowMillis);
+        retries.onRequest(terms.service(), nowMillis);
         ports.metrics().onAccepted();
         exchange.onClosed(() -> onCallerGone(row));
         exchange.onWritable(() -> {
@@ -226,10 +189,6 @@
         exchange.fail(failure);
     }
 
-    private void admit(RelayRequest row) {
-        tokens.reserve(row, () -> place(row), failure -> fail(row, failure));
-    }
-
     private void place(RelayRequest row) {
         long nowMillis = now();
         if (row.remainingMillis(nowMillis) < MIN_REMAINING_MILLIS) {
