--- a/src/main/java/org/radishspan/routing/Placement.java
+++ b/src/main/java/org/radishspan/routing/Placement.java
@@ -58,6 +58,9 @@
     /** What each request adds that already waits for a slot there: the usual time until one ends. */
     private static final double WAITING_MILLIS = 40;
 
+    /** What the home of a shared part reads serves the prompts of all routers; by 'bench routing', which is flat from 2 to 8. */
+    private static final double HOME_WEIGHT = 2.5;
+
     private final UniformRandomProvider random;
 
     /** Creates a placement. */
@@ -88,7 +91,7 @@
     private static double homeBonusMillis(Target target, PromptShape prompt) {
         int shared = Math.max(0, prompt.partIds().size() - 1);
         int known = Math.min(shared, target.cachedParts.leadingParts(prompt.partIds()));
-        return (prompt.leadingTokens(shared) - prompt.leadingTokens(known)) / READ_TOKENS_PER_MILLI;
+        return HOME_WEIGHT * (prompt.leadingTokens(shared) - prompt.leadingTokens(known)) / READ_TOKENS_PER_MILLI;
     }
 
     private static long rank(Target target, PromptShape prompt) {
