Use one piece for what the change had written twice

Cause: the last read of the whole change.

What was there twice and is now once: the listener that collects an answer (ObjectApi, HttpPlatformStore: WholeAnswer in http); the listener that wakes the router (VirtualFleet now uses WakingTransport); random ids and keys (FrontProcess, RouterProcess: CallerKey.random); the rank of targets and the tokens a target has yet to read (RoutingPolicy, RoutingLoad: Placement.home and uncachedTokens); the exponential draw (Demand); the fleet's demand and the running mean in ShareSizing; the copy of all knobs in SharesBench (Tuning.withoutBounds, beside the fields). Placement ranked most targets twice a request, through a comparator; home() ranks each once. Out: two accessors that nothing called, a second branch of RelaySystem.fail.

Left as they are: delegations of HttpCallerExchange and HttpReply, handlers of Router and FrontRouter, the process loops of FrontProcess and RouterProcess: alike in shape, each for another interface or another end.

No behaviour meant to change.

--- a/src/main/java/org/radishspan/bench/Demand.java
+++ b/src/main/java/org/radishspan/bench/Demand.java
@@ -46,7 +46,12 @@
 
     /** Draws the time to the next call. */
     public long nextDelayMillis(UniformRandomProvider random) {
-        return Math.round(-Math.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / callsPerSecond);
+        return Math.round(exponential(random) * MILLIS_PER_SECOND / callsPerSecond);
+    }
+
+    /** Draws from the exponential distribution with mean 1, as that of the times between independent events. */
+    static double exponential(UniformRandomProvider random) {
+        return -Math.log(1 - random.nextDouble());
     }
 
     /** Draws a call. */
--- a/src/main/java/org/radishspan/bench/RoutingLoad.java
+++ b/src/main/java/org/radishspan/bench/RoutingLoad.java
@@ -5,7 +5,6 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.routing.Placement.PromptShape;
-import org.radishspan.routing.Target;
 
 /**
  * The prompts of one run of the routing benchmark: long ones for summaries, short ones for chats.
@@ -60,16 +59,7 @@
      * @param shape its parts
      * @param events the events of its answer
      */
-    record Arrival(Kind kind, PromptShape shape, int events) {
-        /** Returns the tokens that a router believes the target has yet to read. */
-        long uncachedAt(Target target) {
-            int known = target.cachedParts().leadingParts(shape.partIds());
-            return shape.partTokens().stream()
-                    .skip(known)
-                    .mapToLong(Long::longValue)
-                    .sum();
-        }
-    }
+    record Arrival(Kind kind, PromptShape shape, int events) {}
 
     double perSecond() {
         return longPerSecond + shortPerSecond;
@@ -81,14 +71,10 @@
         int subjects = isLong ? LONG_SUBJECTS : SHORT_SUBJECTS;
         int subject = isLong && random.nextDouble() < hotFraction ? 0 : random.nextInt(subjects);
         int family = subject % (isLong ? LONG_FAMILIES : SHORT_FAMILIES);
-        long own = Math.max(1, Math.round(kind.ownTokens * exponential(random)));
+        long own = Math.max(1, Math.round(kind.ownTokens * Demand.exponential(random)));
         List<String> ids = List.of(kind + "-f" + family, kind + "-s" + subject, "own-" + number);
         List<Long> tokens = new ArrayList<>(List.of(kind.familyTokens, kind.subjectTokens, own));
-        int events = (int) Math.max(1, Math.round(kind.events * exponential(random)));
+        int events = (int) Math.max(1, Math.round(kind.events * Demand.exponential(random)));
         return new Arrival(kind, new PromptShape(ids.get(1), ids, tokens), events);
     }
-
-    static double exponential(UniformRandomProvider random) {
-        return -Math.log(1 - random.nextDouble());
-    }
 }
--- a/src/main/java/org/radishspan/bench/RoutingPolicy.java
+++ b/src/main/java/org/radishspan/bench/RoutingPolicy.java
@@ -1,16 +1,12 @@
 package org.radishspan.bench;
 
-import java.util.Comparator;
 import java.util.List;
 
-import org.apache.commons.codec.digest.MurmurHash3;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.routing.Placement;
 import org.radishspan.routing.Placement.PromptShape;
 import org.radishspan.routing.Target;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** Chooses the target of a prompt in the routing benchmark. */
 @FunctionalInterface
 interface RoutingPolicy {
@@ -43,14 +39,7 @@
 
     /** The target that ranks first for the prompt's shared part, however much it has to do. */
     static RoutingPolicy prefixOnly() {
-        return (targets, prompt, nowMillis) -> targets.stream()
-                .max(Comparator.comparingLong(target -> rank(target, prompt)))
-                .orElseThrow();
-    }
-
-    private static long rank(Target target, PromptShape prompt) {
-        byte[] bytes = (prompt.sharedPartId() + "/" + target.name()).getBytes(UTF_8);
-        return Integer.toUnsignedLong(MurmurHash3.hash32x86(bytes, 0, bytes.length, 0));
+        return (targets, prompt, nowMillis) -> Placement.home(targets, prompt).orElseThrow();
     }
 
     /** The router's own placement. */
--- a/src/main/java/org/radishspan/bench/RoutingResult.java
+++ b/src/main/java/org/radishspan/bench/RoutingResult.java
@@ -114,12 +114,4 @@
     long pauseMillis(double percentile) {
         return pauses.getValueAtPercentile(percentile);
     }
-
-    /** Returns the part of the answers of a kind whose first event was on time. */
-    double onTime(RoutingLoad.Kind kind) {
-        Histogram histogram = histogram(kind);
-        return histogram.getTotalCount() == 0
-                ? 0
-                : (double) histogram.getCountBetweenValues(0, kind.objectiveMillis) / histogram.getTotalCount();
-    }
 }
--- a/src/main/java/org/radishspan/bench/RoutingRun.java
+++ b/src/main/java/org/radishspan/bench/RoutingRun.java
@@ -11,6 +11,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.radishspan.deployment.Address;
 import org.radishspan.deployment.TargetEntry;
+import org.radishspan.routing.Placement;
 import org.radishspan.routing.Target;
 import org.radishspan.routing.TargetTable;
 import org.radishspan.virtual.VirtualTime;
@@ -70,7 +71,7 @@
     }
 
     private void scheduleArrival() {
-        long gapMillis = Math.round(RoutingLoad.exponential(random) * SECOND_MILLIS / load.perSecond());
+        long gapMillis = Math.round(Demand.exponential(random) * SECOND_MILLIS / load.perSecond());
         time.schedule(gapMillis, () -> {
             arrivals++;
             send(load.draw(random, arrivals), random.nextInt(routers.size()));
@@ -87,7 +88,7 @@
         if (engine == null) {
             throw new IllegalStateException("no engine named " + target.name());
         }
-        long uncached = arrival.uncachedAt(target);
+        long uncached = Placement.uncachedTokens(target, arrival.shape());
         table.onDispatched(target);
         table.addPendingPrompt(target, uncached);
         target.cachedParts().onRead(arrival.shape().sharedPartIds());
--- a/src/main/java/org/radishspan/bench/SharesBench.java
+++ b/src/main/java/org/radishspan/bench/SharesBench.java
@@ -76,28 +76,10 @@
         this.seed = seed;
     }
 
-    private static SharePolicy.Tuning withoutBounds() {
-        SharePolicy.Tuning usual = ShareSettings.TUNING;
-        return new SharePolicy.Tuning(
-                usual.demandSmoothing(),
-                usual.priorCalls(),
-                usual.startFraction(),
-                usual.idleMillis(),
-                usual.lowWaterFraction(),
-                usual.callsHeld(),
-                usual.safetyFactor(),
-                usual.reserveFraction(),
-                usual.reserveMillis(),
-                usual.settleMillis(),
-                usual.noticeMillis(),
-                0,
-                0);
-    }
-
     /** Runs every scenario; returns whether the settings in use meet the targets. */
     public boolean run() {
         Map<String, SharePolicy.Tuning> tunings = new LinkedHashMap<>();
-        tunings.put("whole grant at any time", withoutBounds());
+        tunings.put("whole grant at any time", ShareSettings.TUNING.withoutBounds());
         tunings.put("bounds of " + ShareSettings.TUNING.boundMillis() + " ms", ShareSettings.TUNING);
         out.println("| scenario | shares | calls | refused | forfeited, s of demand | spent of the budget |");
         out.println("| --- | --- | --- | --- | --- | --- |");
@@ -153,7 +135,7 @@
             while (due >= 1) {
                 due--;
                 calls++;
-                long tokens = MIN_TOKENS + Math.round(MEAN_TOKENS * RoutingLoad.exponential(random));
+                long tokens = MIN_TOKENS + Math.round(MEAN_TOKENS * Demand.exponential(random));
                 fleet.call(random.nextInt(ROUTERS), tokens, false, WORK_MILLIS);
             }
             fleet.pass(STEP_MILLIS);
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -138,11 +138,6 @@
         return fleetDemandTokensPerSecond;
     }
 
-    /** Returns the unspent tokens of the budget in the whole fleet, as the ledger last told. */
-    public long unspentTokens() {
-        return unspentTokens;
-    }
-
     /** Returns the tokens that shares of ended processes hold, as the ledger last told. */
     public long forfeitedTokens() {
         return forfeitedTokens;
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -57,6 +57,24 @@
             double urgentFraction) {
         /** Measures demand slowly, holds nothing before, reports bills at once, spends the whole grant at any time. */
         public static final Tuning USUAL = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 0, 1_000, 0, 0);
+
+        /** Returns these knobs for a router that states no bounds and keeps nothing for urgent calls. */
+        public Tuning withoutBounds() {
+            return new Tuning(
+                    demandSmoothing,
+                    priorCalls,
+                    startFraction,
+                    idleMillis,
+                    lowWaterFraction,
+                    callsHeld,
+                    safetyFactor,
+                    reserveFraction,
+                    reserveMillis,
+                    settleMillis,
+                    noticeMillis,
+                    0,
+                    0);
+        }
     }
 
     /** The setting for ordinary days. */
--- a/src/main/java/org/radishspan/budget/ShareSizing.java
+++ b/src/main/java/org/radishspan/budget/ShareSizing.java
@@ -48,11 +48,12 @@
     /** Learns the usual size of calls. */
     void noteCall(Share share, long tokens) {
         share.noteCall(tokens);
-        typicalCallTokens =
-                typicalCallTokens == 0 ? tokens : typicalCallTokens + CALL_SMOOTHING * (tokens - typicalCallTokens);
-        double square = (double) tokens * tokens;
-        squaredCallTokens =
-                squaredCallTokens == 0 ? square : squaredCallTokens + CALL_SMOOTHING * (square - squaredCallTokens);
+        typicalCallTokens = smoothed(typicalCallTokens, tokens);
+        squaredCallTokens = smoothed(squaredCallTokens, (double) tokens * tokens);
+    }
+
+    private static double smoothed(double average, double value) {
+        return average == 0 ? value : average + CALL_SMOOTHING * (value - average);
     }
 
     /** Measures the demand of the last second or so. */
@@ -105,8 +106,7 @@
 
     /** Returns this router's part of the fleet's demand for a budget. */
     private double partOfDemand(Share share) {
-        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
-        return (expectedDemand(share) + 1) / (share.demandTokensPerSecond + others + 1);
+        return (expectedDemand(share) + 1) / (fleetDemand(share) + 1);
     }
 
     /** Returns what the share should have available: the demand of the horizon, within its fair part of what is left. */
@@ -141,12 +141,17 @@
                         spendable, share.fleetDemandTokensPerSecond, tuning.reserveFraction(), tuning.reserveMillis());
     }
 
+    /** Returns the demand of all routers: this one's as it is now, that of the others as the ledger last told. */
+    private static double fleetDemand(Share share) {
+        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
+        return share.demandTokensPerSecond + others;
+    }
+
     /** Returns a router's demand, drawn towards the mean of all routers. */
     private double expectedDemand(Share share) {
         double priorCalls = share.accountSeen ? tuning.priorCalls() : 0;
         double shrinkage = priorCalls == 0 ? 0 : priorCalls / (priorCalls + share.callsSeen);
-        double others = Math.max(0, share.fleetDemandTokensPerSecond - share.reportedDemandTokensPerSecond);
-        double mean = (share.demandTokensPerSecond + others) / Math.max(1, routerCount.getAsInt());
+        double mean = fleetDemand(share) / Math.max(1, routerCount.getAsInt());
         return shrinkage * mean + (1 - shrinkage) * share.demandTokensPerSecond;
     }
 
--- a/src/main/java/org/radishspan/config/CallerKey.java
+++ b/src/main/java/org/radishspan/config/CallerKey.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.security.SecureRandom;
 import java.util.HexFormat;
 
 import org.apache.commons.codec.digest.DigestUtils;
@@ -9,6 +10,8 @@
 
 /** Keys of callers, stored as salted hashes and compared in constant time. */
 public final class CallerKey {
+    private static final SecureRandom SECURE_RANDOM = new SecureRandom();
+
     private CallerKey() {}
 
     /** Returns the hash of a key as it is stored. */
@@ -26,8 +29,10 @@
         return MessageDigest.isEqual(left.getBytes(StandardCharsets.UTF_8), right.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Returns a salt or key from random bytes. */
-    public static String fromBytes(byte[] bytes) {
+    /** Returns a salt, a key or an id: so many random bytes as hexadecimal text. */
+    public static String random(int byteCount) {
+        byte[] bytes = new byte[byteCount];
+        SECURE_RANDOM.nextBytes(bytes);
         return HexFormat.of().formatHex(bytes);
     }
 }
--- a/src/main/java/org/radishspan/explain/Explanation.java
+++ b/src/main/java/org/radishspan/explain/Explanation.java
@@ -6,7 +6,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -211,7 +210,7 @@
                 text.append(' ')
                         .append(field.getKey())
                         .append('=')
-                        .append(Objects.toString(field.getValue().asText()));
+                        .append(field.getValue().asText());
             }
         }
         return text.toString();
--- a/src/main/java/org/radishspan/front/FrontProcess.java
+++ b/src/main/java/org/radishspan/front/FrontProcess.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -94,7 +93,7 @@
         this.settingsText = settingsText;
         this.settings = settings;
         this.log = EventLog.start(new FileOutputStream(FileDescriptor.out), System::currentTimeMillis);
-        this.incarnation = settings.vm() + "-" + randomHex();
+        this.incarnation = settings.vm() + "-" + CallerKey.random(INCARNATION_BYTES);
         VmBoot boot = VmBoot.read(VmBoot.KERNEL_FILE);
         HttpTransport transport = new WakingTransport(new HttpClient(group), this::wake);
         ObjectApi store = new ObjectApi(transport, settings.store().address());
@@ -166,12 +165,6 @@
         HttpServer.start(group, address.host(), address.port(), SMALL_BODY_BYTES, handler);
     }
 
-    private static String randomHex() {
-        byte[] random = new byte[INCARNATION_BYTES];
-        new SecureRandom().nextBytes(random);
-        return CallerKey.fromBytes(random);
-    }
-
     private static long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
--- a/src/main/java/org/radishspan/platform/ObjectApi.java
+++ b/src/main/java/org/radishspan/platform/ObjectApi.java
@@ -1,6 +1,5 @@
 package org.radishspan.platform;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
@@ -17,6 +16,7 @@
 import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.http.Json;
+import org.radishspan.http.WholeAnswer;
 import org.radishspan.store.ObjectKinds;
 import org.radishspan.store.StoredObject;
 import org.radishspan.store.VersionedObjects;
@@ -58,11 +58,11 @@
         call("GET", PATH + key, new byte[0], TIMEOUT_MILLIS, answer -> reply.accept(answer.flatMap(ObjectApi::stored)));
     }
 
-    private static Either<Failure, StoredObject> stored(Answer answer) {
-        if (answer.status == NOT_FOUND) {
+    private static Either<Failure, StoredObject> stored(WholeAnswer answer) {
+        if (answer.status() == NOT_FOUND) {
             return Either.right(StoredObject.ABSENT);
         }
-        return answer.success().flatMap(object -> {
+        return success(answer).flatMap(object -> {
             Optional<byte[]> bytes = bytes(object.path("spec").path(BYTES));
             long version = object.path("metadata").path("revision").asLong();
             return bytes.isEmpty() || version <= 0
@@ -106,11 +106,11 @@
         return object;
     }
 
-    private static Either<Failure, Long> written(Answer answer) {
-        if (answer.status == CONFLICT || answer.status == NOT_FOUND) {
+    private static Either<Failure, Long> written(WholeAnswer answer) {
+        if (answer.status() == CONFLICT || answer.status() == NOT_FOUND) {
             return Either.left(Failure.notRun(ErrorKind.CONFLICT, "the object has another version"));
         }
-        return answer.success()
+        return success(answer)
                 .map(object -> object.path("metadata").path("revision").asLong());
     }
 
@@ -126,8 +126,8 @@
                 answer -> reply.accept(answer.flatMap(ObjectApi::page)));
     }
 
-    private static Either<Failure, Page> page(Answer answer) {
-        return answer.success().map(body -> {
+    private static Either<Failure, Page> page(WholeAnswer answer) {
+        return success(answer).map(body -> {
             List<Entry> entries = new ArrayList<>();
             body.path("entries").forEach(object -> entries.add(entry(object)));
             return new Page(
@@ -154,11 +154,11 @@
                 answer -> reply.accept(answer.flatMap(ObjectApi::changes)));
     }
 
-    private static Either<Failure, Changes> changes(Answer answer) {
-        if (answer.status == GONE) {
+    private static Either<Failure, Changes> changes(WholeAnswer answer) {
+        if (answer.status() == GONE) {
             return Either.left(Failure.notRun(ErrorKind.CONFLICT, "this part of the history is gone"));
         }
-        return answer.success().map(body -> {
+        return success(answer).map(body -> {
             List<Change> changes = new ArrayList<>();
             for (JsonNode event : body.path("events")) {
                 changes.add(new Change(
@@ -173,7 +173,7 @@
         byte[] body =
                 object(Json.object().put("name", name), content).toString().getBytes(UTF_8);
         call("PUT", PATH + kind + "/" + name, body, TIMEOUT_MILLIS, answer -> {
-            if (answer.isRight() && answer.get().status == NOT_FOUND) {
+            if (answer.isRight() && answer.get().status() == NOT_FOUND) {
                 call(
                         "POST",
                         PATH + kind,
@@ -201,51 +201,20 @@
     }
 
     private void call(
-            String method, String path, byte[] body, long limitMillis, Consumer<Either<Failure, Answer>> done) {
+            String method, String path, byte[] body, long limitMillis, Consumer<Either<Failure, WholeAnswer>> done) {
         Map<String, String> headers = body.length == 0 ? Map.of() : Map.of("Content-Type", Json.CONTENT_TYPE);
         transport.send(
                 new HttpTransport.Request(address.host(), address.port(), method, path, headers, body, limitMillis),
-                new Answer(done));
+                WholeAnswer.collecting(answer -> done.accept(answer.mapLeft(ObjectApi::unavailable))));
     }
 
-    /** Collects one answer. */
-    private static final class Answer implements HttpTransport.Listener {
-        private final Consumer<Either<Failure, Answer>> done;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-
-        Answer(Consumer<Either<Failure, Answer>> done) {
-            this.done = done;
-        }
-
-        Either<Failure, ObjectNode> success() {
-            if (status < FIRST_SUCCESS || status >= FIRST_REDIRECT) {
-                return Either.left(unavailable("status " + status));
-            }
-            Optional<ObjectNode> object = Json.parseObject(body.toByteArray());
-            return object.isPresent()
-                    ? Either.right(object.get())
-                    : Either.left(unavailable("the answer is not one JSON object"));
-        }
-
-        @Override
-        public void onHead(int statusCode, HttpTransport.Headers headers) {
-            status = statusCode;
-        }
-
-        @Override
-        public void onBody(byte[] bytes) {
-            body.writeBytes(bytes);
-        }
-
-        @Override
-        public void onEnd() {
-            done.accept(Either.right(this));
-        }
-
-        @Override
-        public void onFailure(String message, boolean sent) {
-            done.accept(Either.left(unavailable(message)));
+    private static Either<Failure, ObjectNode> success(WholeAnswer answer) {
+        if (answer.status() < FIRST_SUCCESS || answer.status() >= FIRST_REDIRECT) {
+            return Either.left(unavailable("status " + answer.status()));
         }
+        Optional<ObjectNode> object = Json.parseObject(answer.body());
+        return object.isPresent()
+                ? Either.right(object.get())
+                : Either.left(unavailable("the answer is not one JSON object"));
     }
 }
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -316,13 +316,12 @@
                 .with("elapsed_ms", now() - row.acceptedAtMillis)
                 .with("retry_after_ms", failure.retryAfterMillis())
                 .write();
+        finish(row, false);
         if (row.headRelayed) {
             ports.metrics().onBrokenOff();
-            finish(row, false);
             row.exchange.abort();
             return;
         }
-        finish(row, false);
         row.exchange.fail(failure);
     }
 
--- a/src/main/java/org/radishspan/router/RouterProcess.java
+++ b/src/main/java/org/radishspan/router/RouterProcess.java
@@ -1,6 +1,5 @@
 package org.radishspan.router;
 
-import java.security.SecureRandom;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -53,7 +52,6 @@
     private static final int SECRET_BYTES = 16;
     private static final int INCARNATION_BYTES = 6;
     private static final int OPERATOR_BODY_BYTES = 1_048_576;
-    private static final SecureRandom SECURE_RANDOM = new SecureRandom();
 
     private final RouterSettings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -72,7 +70,7 @@
     private RouterProcess(RouterSettings settings) {
         this.settings = settings;
         this.clockOffsetMillis = System.currentTimeMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-        String incarnation = settings.vm() + "-" + randomHex(INCARNATION_BYTES);
+        String incarnation = settings.vm() + "-" + CallerKey.random(INCARNATION_BYTES);
         RouterSettings.Platform platform = settings.platform();
         HttpTransport waking = new WakingTransport(client, this::wake);
         HttpPlatformStore store = new HttpPlatformStore(
@@ -85,7 +83,7 @@
         RouterSettings.Caller caller = settings.caller();
         this.callerServer =
                 HttpServer.start(group, caller.host(), caller.port(), caller.maxBodyBytes(), this::onCallerCall);
-        OperatorApi api = new OperatorApi(router, () -> randomHex(SECRET_BYTES));
+        OperatorApi api = new OperatorApi(router, () -> CallerKey.random(SECRET_BYTES));
         RouterSettings.Operator operator = settings.operator();
         this.operatorServer = HttpServer.start(
                 group, operator.host(), operator.port(), OPERATOR_BODY_BYTES, call -> onOperatorCall(api, call));
@@ -110,12 +108,6 @@
         return process;
     }
 
-    private static String randomHex(int bytes) {
-        byte[] random = new byte[bytes];
-        SECURE_RANDOM.nextBytes(random);
-        return CallerKey.fromBytes(random);
-    }
-
     private void sendToPeer(Peer peer, PeerMessage message) {
         peerTransport.send(peer, message);
     }
--- a/src/main/java/org/radishspan/routing/Placement.java
+++ b/src/main/java/org/radishspan/routing/Placement.java
@@ -1,6 +1,5 @@
 package org.radishspan.routing;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -70,12 +69,12 @@
 
     /** Returns the best target for a prompt; empty if there are no candidates. */
     public Optional<Choice> choose(List<Target> candidates, PromptShape prompt, long nowMillis) {
-        Optional<Target> home = candidates.stream().max(Comparator.comparingLong(target -> rank(target, prompt)));
+        Target home = home(candidates, prompt).orElse(null);
         Choice best = null;
         double bestCost = 0;
         for (Target candidate : candidates) {
             Choice choice = estimate(candidate, prompt, nowMillis);
-            double cost = choice.estimateMillis() - (home.get() == candidate ? homeBonusMillis(candidate, prompt) : 0);
+            double cost = choice.estimateMillis() - (home == candidate ? homeBonusMillis(candidate, prompt) : 0);
             if (best == null || cost < bestCost) {
                 best = choice;
                 bestCost = cost;
@@ -94,19 +93,38 @@
         return HOME_WEIGHT * (prompt.leadingTokens(shared) - prompt.leadingTokens(known)) / READ_TOKENS_PER_MILLI;
     }
 
+    /** Returns the target that ranks first for the shared part of a prompt; empty if there are no candidates. */
+    public static Optional<Target> home(List<Target> candidates, PromptShape prompt) {
+        Target first = null;
+        long firstRank = 0;
+        for (Target candidate : candidates) {
+            long rank = rank(candidate, prompt);
+            if (first == null || rank > firstRank) {
+                first = candidate;
+                firstRank = rank;
+            }
+        }
+        return Optional.ofNullable(first);
+    }
+
     private static long rank(Target target, PromptShape prompt) {
         byte[] bytes = (prompt.sharedPartId() + "/" + target.name()).getBytes(UTF_8);
         return Integer.toUnsignedLong(MurmurHash3.hash32x86(bytes, 0, bytes.length, 0));
     }
 
     private static Choice estimate(Target target, PromptShape prompt, long nowMillis) {
-        int known = target.cachedParts.leadingParts(prompt.partIds());
-        long uncached = prompt.tokens() - prompt.leadingTokens(known);
+        long uncached = uncachedTokens(target, prompt);
         double unread = target.pendingPromptTokens + foreignPromptTokens(target, nowMillis) + uncached;
         double estimate = unread / READ_TOKENS_PER_MILLI + crowdMillis(target);
         return new Choice(target, estimate, uncached);
     }
 
+    /** Returns the tokens of a prompt that a target, as far as this router can tell, has yet to read. */
+    public static long uncachedTokens(Target target, PromptShape prompt) {
+        int known = target.cachedParts.leadingParts(prompt.partIds());
+        return prompt.tokens() - prompt.leadingTokens(known);
+    }
+
     /** Returns the prompt tokens of other routers that a target cannot have read yet. */
     static double foreignPromptTokens(Target target, long nowMillis) {
         double read = (nowMillis - target.foreignAtMillis) * READ_TOKENS_PER_MILLI;
--- a/src/main/java/org/radishspan/store/HttpPlatformStore.java
+++ b/src/main/java/org/radishspan/store/HttpPlatformStore.java
@@ -1,14 +1,13 @@
 package org.radishspan.store;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
-import org.jspecify.annotations.Nullable;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
+import org.radishspan.http.WholeAnswer;
 
 /** The platform's object API over HTTP. */
 public final class HttpPlatformStore implements PlatformStore {
@@ -72,31 +71,31 @@
         return "/objects/" + key;
     }
 
-    private static Either<Failure, StoredObject> toStored(Answer answer) {
-        if (answer.status == NOT_FOUND) {
+    private static Either<Failure, StoredObject> toStored(WholeAnswer answer) {
+        if (answer.status() == NOT_FOUND) {
             return Either.right(StoredObject.ABSENT);
         }
-        if (answer.status != OK) {
-            return Either.left(unavailable("status " + answer.status));
+        if (answer.status() != OK) {
+            return Either.left(unavailable("status " + answer.status()));
         }
-        return Either.right(new StoredObject(answer.version, answer.body.toByteArray()));
+        return Either.right(new StoredObject(version(answer), answer.body()));
     }
 
-    private static Either<Failure, StoredObject> toWatched(Answer answer, long aboveVersion) {
-        if (answer.status == NOT_MODIFIED) {
+    private static Either<Failure, StoredObject> toWatched(WholeAnswer answer, long aboveVersion) {
+        if (answer.status() == NOT_MODIFIED) {
             return Either.right(new StoredObject(aboveVersion, new byte[0]));
         }
         return toStored(answer);
     }
 
-    private static Either<Failure, Long> toVersion(Answer answer) {
-        if (answer.status == PRECONDITION_FAILED) {
+    private static Either<Failure, Long> toVersion(WholeAnswer answer) {
+        if (answer.status() == PRECONDITION_FAILED) {
             return Either.left(Failure.notRun(ErrorKind.CONFLICT, "the object has another version"));
         }
-        if (answer.status != OK) {
-            return Either.left(unavailable("status " + answer.status));
+        if (answer.status() != OK) {
+            return Either.left(unavailable("status " + answer.status()));
         }
-        return Either.right(answer.version);
+        return Either.right(version(answer));
     }
 
     private static Failure unavailable(String message) {
@@ -109,48 +108,17 @@
             Map<String, String> headers,
             byte[] body,
             long limitMillis,
-            Consumer<Either<Failure, Answer>> done) {
+            Consumer<Either<Failure, WholeAnswer>> done) {
         transport.send(
-                new HttpTransport.Request(host, port, method, path, headers, body, limitMillis), new Answer(done));
+                new HttpTransport.Request(host, port, method, path, headers, body, limitMillis),
+                WholeAnswer.collecting(answer -> done.accept(answer.mapLeft(HttpPlatformStore::unavailable))));
     }
 
-    /** Collects one answer. */
-    private static final class Answer implements HttpTransport.Listener {
-        private final Consumer<Either<Failure, Answer>> done;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-        private long version;
-
-        Answer(Consumer<Either<Failure, Answer>> done) {
-            this.done = done;
-        }
-
-        @Override
-        public void onHead(int statusCode, HttpTransport.Headers headers) {
-            status = statusCode;
-            version = parseVersion(headers.get("etag"));
-        }
-
-        private static long parseVersion(@Nullable String etag) {
-            if (etag == null || etag.isEmpty() || !etag.chars().allMatch(Character::isDigit)) {
-                return StoredObject.ABSENT_VERSION;
-            }
-            return Long.parseLong(etag);
-        }
-
-        @Override
-        public void onBody(byte[] bytes) {
-            body.writeBytes(bytes);
-        }
-
-        @Override
-        public void onEnd() {
-            done.accept(Either.right(this));
-        }
-
-        @Override
-        public void onFailure(String message, boolean sent) {
-            done.accept(Either.left(unavailable(message)));
+    private static long version(WholeAnswer answer) {
+        String etag = answer.headers().get("etag");
+        if (etag == null || etag.isEmpty() || !etag.chars().allMatch(Character::isDigit)) {
+            return StoredObject.ABSENT_VERSION;
         }
+        return Long.parseLong(etag);
     }
 }
--- a/src/main/java/org/radishspan/virtual/VirtualFleet.java
+++ b/src/main/java/org/radishspan/virtual/VirtualFleet.java
@@ -15,6 +15,7 @@
 import org.radishspan.config.CallerKey;
 import org.radishspan.config.Configuration;
 import org.radishspan.http.HttpTransport;
+import org.radishspan.http.WakingTransport;
 import org.radishspan.membership.LiveList;
 import org.radishspan.peer.Peer;
 import org.radishspan.proto.AccountState;
@@ -217,8 +218,7 @@
         if (!parts.tickOnEvents) {
             return transport;
         }
-        return (request, listener) -> transport.send(
-                request, new TickingListener(listener, () -> holder[0].router().tick(time.nowMillis())));
+        return new WakingTransport(transport, () -> holder[0].router().tick(time.nowMillis()));
     }
 
     private RouterSettings settings(String vm, String failureDomain) {
@@ -414,30 +414,4 @@
     public void settleDown() {
         run(SETTLE_DOWN_MILLIS);
     }
-
-    /** Ticks after each thing that a target says, as a real router does. */
-    private record TickingListener(HttpTransport.Listener listener, Runnable tick) implements HttpTransport.Listener {
-        @Override
-        public void onHead(int status, HttpTransport.Headers headers) {
-            listener.onHead(status, headers);
-            tick.run();
-        }
-
-        @Override
-        public void onBody(byte[] bytes) {
-            listener.onBody(bytes);
-        }
-
-        @Override
-        public void onEnd() {
-            listener.onEnd();
-            tick.run();
-        }
-
-        @Override
-        public void onFailure(String message, boolean sent) {
-            listener.onFailure(message, sent);
-            tick.run();
-        }
-    }
 }
