Split asking the ledger for tokens out of ShareSystem

Change: GrantFlow asks for tokens, states bounds and gives back, beside BillFlow, which reports bills; what the ledger told of an account is taken over by Share itself, for both. Moved, not changed: order of steps, times and conditions are the same.

No behaviour meant to change.

--- a/src/main/java/org/radishspan/budget/BillFlow.java
+++ b/src/main/java/org/radishspan/budget/BillFlow.java
@@ -90,8 +90,8 @@
             onLost.accept(share);
             return;
         }
-        ShareSystem.noteBound(share, settlement.shareId(), settlement.bound(), result);
-        ShareSystem.observe(share, result);
+        share.noteBound(settlement.shareId(), settlement.bound(), result);
+        share.observe(result);
         share.refreshLimit(nowMillis);
         share.committedSettleSeq = Math.max(share.committedSettleSeq, settlement.settleSeq());
         releaseBills(share, settlement.settleSeq());
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -10,6 +10,7 @@
 import org.agrona.collections.Long2LongHashMap;
 import org.jspecify.annotations.Nullable;
 import org.radishspan.error.Failure;
+import org.radishspan.proto.LedgerResult;
 import org.radishspan.proto.SpendingBound;
 
 /**
@@ -113,6 +114,24 @@
         limitTokens = bounds.limitTokens(grantedTokens, nowMillis);
     }
 
+    /** Takes over what the ledger told of the account. */
+    void observe(LedgerResult result) {
+        accountSeen = true;
+        horizonMillis = result.getHorizonMillis();
+        unspentTokens = result.getUnspentTokens();
+        forfeitedTokens = result.getForfeitedTokens();
+        budgetLimitTokens = result.getLimitTokens();
+        fleetDemandTokensPerSecond = result.getDemandTokensPerSecond();
+        wantedElsewhere = result.getWantedElsewhere();
+    }
+
+    /** Notes that a change which carried a bound was committed. */
+    void noteBound(String askedFor, SpendingBound sent, LedgerResult result) {
+        if (shareId.equals(askedFor) && result.hasShare()) {
+            bounds.onCommitted(sent, result.getShare().getBound());
+        }
+    }
+
     /** Returns whether the ledger has answered for this share since it was made. */
     public boolean accountSeen() {
         return accountSeen;
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -1,6 +1,5 @@
 package org.radishspan.budget;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -12,15 +11,13 @@
 import io.vavr.control.Either;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
-import org.radishspan.proto.LedgerResult;
-import org.radishspan.proto.SpendingBound;
 
 /**
  * Takes, spends, settles and gives back shares of budgets.
  *
  * <p>Safety rests on the ledger alone: tokens are spent only from a grant that is known to be committed, and counted as
- * given back before the ledger is asked to take them. What this class decides is how much to hold, when to ask, and when
- * a request has waited long enough.
+ * given back before the ledger is asked to take them. This class reserves, and decides when a call has waited long enough;
+ * {@link ShareSizing} decides how much to hold, {@link GrantFlow} asks the ledger for it, {@link BillFlow} reports bills.
  */
 public final class ShareSystem {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -57,25 +54,17 @@
 
     private static final long RATE_PERIOD_MILLIS = 1_000;
 
-    /** A ledger that has not answered for so long is taken for unreachable: it answers in some ten milliseconds. */
-    private static final long LEDGER_SILENT_MILLIS = 500;
-
     /** How long calls wait for tokens while the ledger is unreachable; other calls may end and free some. */
     private static final long SILENT_WAIT_MILLIS = 100;
 
-    /** When a share that was not filled up asks again, unless calls wait. */
-    private static final long FILL_RETRY_MILLIS = 1_000;
-
     private final Identity identity;
     private final LedgerGateway ledgers;
     private final ShareTable table = new ShareTable();
-    private final ShortageNotice shortage;
+    private final GrantFlow grants;
     private final BillFlow bills;
-    private final HolderChoice holderChoice;
     private final ShareCounters counters = new ShareCounters();
     private final ShareSizing sizing;
     private long shareCount;
-    private long askedAtMillis;
     private long rateAtMillis;
     private long nowMillis;
 
@@ -90,9 +79,8 @@
         this.identity = identity;
         this.ledgers = ledgers;
         this.sizing = new ShareSizing(policy);
-        this.shortage = shortage;
-        this.bills = new BillFlow(ledgers, handover, counters, this::lose, this::stateBound);
-        this.holderChoice = holderChoice;
+        this.grants = new GrantFlow(identity, ledgers, sizing, counters, shortage, holderChoice, new GrantOutcomes());
+        this.bills = new BillFlow(ledgers, handover, counters, this::lose, grants::stateBound);
     }
 
     /**
@@ -196,8 +184,7 @@
 
     /** Returns for how long the ledger has left a request without an answer; 0 if it answers as usual. */
     public long ledgerSilentMillis() {
-        long millis = askedAtMillis > 0 ? nowMillis - askedAtMillis : 0;
-        return millis >= LEDGER_SILENT_MILLIS ? millis : 0;
+        return grants.ledgerSilentMillis();
     }
 
     /** Frees a reservation of a request that is not billed. */
@@ -245,6 +232,7 @@
     /** Runs over all shares. */
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
+        grants.startTick(tickMillis);
         bills.startTick(tickMillis, sizing.policy(), tuning());
         boolean measure = tickMillis - rateAtMillis >= RATE_PERIOD_MILLIS;
         for (Share share : List.copyOf(table.rows())) {
@@ -308,157 +296,13 @@
             retire(share);
             return;
         }
-        long waiting = share.waiters.totalTokens();
-        long unused = share.unusedTokens();
-        long target = sizing.targetTokens(share);
-        if (waiting > unused) {
-            requestGrant(share, waiting - unused + target, share.waiters.firstTokens() - unused);
-            return;
-        }
-        boolean wanted = share.demandTokensPerSecond >= 1 || tuning().startFraction() > 0;
-        if (unused < (long) (target * tuning().lowWaterFraction()) && wanted) {
-            requestGrant(share, target - unused, 0);
-            return;
-        }
-        if (unused > (long) sizing.excessTokens(share, target)) {
-            giveBack(share, unused - target);
-        }
+        grants.adjust(share);
     }
 
     private SharePolicy.Tuning tuning() {
         return sizing.tuning();
     }
 
-    /** Says how far this router spends a share until it is heard again, to go with a change of the ledger. */
-    private SpendingBound stateBound(Share share, long mostTokens) {
-        long validMillis = tuning().boundMillis();
-        if (validMillis == 0) {
-            return SpendingBound.getDefaultInstance();
-        }
-        long usable = share.usedTokens() + share.waiters.totalTokens() + sizing.unreportedTokens(share);
-        return share.bounds.state(SpendingBound.newBuilder()
-                .setUsableTokens(Math.min(mostTokens, usable))
-                .setBootId(identity.bootId())
-                .setAtMillis(nowMillis)
-                .setValidMillis(validMillis)
-                .build());
-    }
-
-    private void requestGrant(Share share, long tokens, long minimumTokens) {
-        share.requestInFlight = true;
-        share.requestSeq++;
-        share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
-        share.nextUrgentAtMillis = share.nextRequestAtMillis;
-        String askedFor = share.shareId;
-        List<String> holders = holdersToRecord(share);
-        Ledger.GrantRequest request = new Ledger.GrantRequest(
-                askedFor,
-                identity.incarnation(),
-                identity.vm(),
-                share.requestSeq,
-                tokens,
-                minimumTokens,
-                Math.max(0, share.waiters.totalTokens() - share.unusedTokens()),
-                reportDemand(share),
-                holders,
-                stateBound(share, Long.MAX_VALUE));
-        counters.grantRequests++;
-        noteAsked();
-        ledgers.submit(
-                share.partition,
-                LedgerOps.grant(share.budget, request, sizing.policy().freeFraction(), tuning()),
-                result -> {
-                    noteBound(share, askedFor, request.bound(), result);
-                    onRequestDone(share, askedFor, minimumTokens, holders, result);
-                });
-    }
-
-    static void noteBound(Share share, String askedFor, SpendingBound sent, LedgerResult result) {
-        if (share.shareId.equals(askedFor) && result.hasShare()) {
-            share.bounds.onCommitted(sent, result.getShare().getBound());
-        }
-    }
-
-    private void noteAsked() {
-        if (askedAtMillis == 0) {
-            askedAtMillis = nowMillis;
-        }
-    }
-
-    private static long reportDemand(Share share) {
-        share.reportedDemandTokensPerSecond = (long) share.demandTokensPerSecond;
-        return share.reportedDemandTokensPerSecond;
-    }
-
-    private List<String> holdersToRecord(Share share) {
-        if (share.heldSettleSeq > share.committedSettleSeq) {
-            return new ArrayList<>(share.holders);
-        }
-        List<String> chosen = holderChoice.choose(sizing.policy().holderCount());
-        // A holder that the ledger is about to forget may not vouch for a bill any more.
-        share.holders.retainAll(chosen);
-        return chosen;
-    }
-
-    private void onRequestDone(
-            Share share, String askedFor, long minimumTokens, List<String> holders, LedgerResult result) {
-        if (!share.shareId.equals(askedFor)) {
-            return;
-        }
-        share.requestInFlight = false;
-        askedAtMillis = 0;
-        Optional<Failure> failure = LedgerOps.failure(result);
-        if (failure.isPresent()) {
-            onRefused(share, failure.get());
-            return;
-        }
-        if (!result.hasShare()) {
-            lose(share);
-            return;
-        }
-        boolean gained = result.getShare().getGrantedTokens() > share.grantedTokens;
-        share.grantedTokens = result.getShare().getGrantedTokens();
-        if (!gained && minimumTokens == 0) {
-            // Nothing is left for shares that only fill up.
-            share.nextRequestAtMillis = nowMillis + FILL_RETRY_MILLIS;
-        }
-        share.holders.clear();
-        share.holders.addAll(holders);
-        share.exhausted = result.getShare().getWantedTokens() > 0;
-        if (share.exhausted) {
-            onExhausted(share, minimumTokens);
-        }
-        observe(share, result);
-        share.refreshLimit(nowMillis);
-        serveWaiters(share);
-    }
-
-    private void onExhausted(Share share, long minimumTokens) {
-        counters.shortages++;
-        if (nowMillis >= share.nextNoticeAtMillis) {
-            share.nextNoticeAtMillis = nowMillis + tuning().noticeMillis();
-            shortage.announce(share.budget, share.shareId, minimumTokens);
-        }
-    }
-
-    static void observe(Share share, LedgerResult result) {
-        share.accountSeen = true;
-        share.horizonMillis = result.getHorizonMillis();
-        share.unspentTokens = result.getUnspentTokens();
-        share.forfeitedTokens = result.getForfeitedTokens();
-        share.budgetLimitTokens = result.getLimitTokens();
-        share.fleetDemandTokensPerSecond = result.getDemandTokensPerSecond();
-        share.wantedElsewhere = result.getWantedElsewhere();
-    }
-
-    private void onRefused(Share share, Failure failure) {
-        if (failure.kind() == ErrorKind.SHARE_LOST) {
-            lose(share);
-            return;
-        }
-        share.lastFailure = Failure.notRun(failure.kind(), failure.message());
-    }
-
     private void lose(Share share) {
         counters.sharesLost++;
         String lostId = share.shareId;
@@ -472,21 +316,6 @@
         return Failure.ran(ErrorKind.SHARE_LOST, "share " + shareId + " was closed before the bill was committed");
     }
 
-    private void giveBack(Share share, long tokens) {
-        share.requestInFlight = true;
-        share.requestSeq++;
-        share.grantedTokens -= tokens;
-        share.refreshLimit(nowMillis);
-        share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
-        String askedFor = share.shareId;
-        counters.giveBacks++;
-        noteAsked();
-        ledgers.submit(
-                share.partition,
-                LedgerOps.giveBack(share.budget, askedFor, share.requestSeq, tokens, reportDemand(share)),
-                result -> onRequestDone(share, askedFor, 0, new ArrayList<>(share.holders), result));
-    }
-
     /** Gives excess back because another router is short of tokens of the same budget. */
     public void onShortage(String budget, long tokens) {
         Share share = table.get(budget);
@@ -498,7 +327,7 @@
             return;
         }
         long half = Math.max(spare / 2, Math.min(spare, tokens));
-        giveBack(share, half);
+        grants.giveBack(share, half);
     }
 
     /** Gives every share back whole; to be called again until {@link #retired}. */
@@ -538,4 +367,17 @@
     public boolean retired() {
         return table.rows().isEmpty();
     }
+
+    /** What answers to requests for tokens lead to. */
+    private final class GrantOutcomes implements GrantFlow.Outcomes {
+        @Override
+        public void onAnswered(Share share) {
+            serveWaiters(share);
+        }
+
+        @Override
+        public void onLost(Share share) {
+            lose(share);
+        }
+    }
 }
