Log how routers use ledgers and which routers fell silent

What callers saw: refusals with a silent ledger; no line said why it was silent. Ruled out: nothing yet. Change: a line ledger_used every 5 s (reads, writes, conflicts, unknown outcomes, bytes, waiting changes), router_silent and router_heard. No decision changes.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -120,6 +120,7 @@
     private final ShareSystem shares;
     private final StrikeTable strikes;
     private final RelaySystem relay;
+    private final LedgerReport ledgerReport;
     private boolean earlierClosed;
     private long configuredAtMillis;
     private boolean draining;
@@ -146,6 +147,7 @@
                 ports.random(),
                 COMMIT_GAP_MILLIS);
         this.ledgers = new LedgerPartitions(LEDGERS, objectPorts);
+        this.ledgerReport = new LedgerReport(ledgers, ports.log());
         this.peers = new PeerSystem(
                 new PeerSystem.Self(self.vm(), self.incarnation(), self.failureDomain()),
                 ports.peerLink(),
@@ -350,6 +352,7 @@
         shares.tick(nowMillis);
         gateway.tick(nowMillis);
         ledgers.tick(nowMillis);
+        ledgerReport.tick(nowMillis);
     }
 
     private void divideRates() {
@@ -408,6 +411,15 @@
             }
         }
 
+        @Override
+        public void onSilenceChanged(String vm, boolean silent, long quietMillis) {
+            ports.log()
+                    .belief(silent ? "router_silent" : "router_heard")
+                    .with("vm", vm)
+                    .with("quiet_ms", quietMillis)
+                    .write();
+        }
+
         @Override
         public void onProcessGone(String incarnation) {
             ports.log().belief("router_gone").with("incarnation", incarnation).write();
--- /dev/null
+++ b/src/main/java/org/radishspan/front/LedgerReport.java
@@ -0,0 +1,52 @@
+package org.radishspan.front;
+
+import org.radishspan.budget.LedgerBook;
+import org.radishspan.budget.LedgerPartitions;
+import org.radishspan.log.EventLog;
+import org.radishspan.store.SharedObject;
+
+/** Logs every few seconds how this router used the ledgers. */
+final class LedgerReport {
+    /** One line a ledger and router in five seconds is below a hundredth of what the requests log. */
+    private static final long REPORT_MILLIS = 5_000;
+
+    private final LedgerPartitions ledgers;
+    private final EventLog log;
+    private final long[] reportedCalls;
+    private long nextReportAtMillis;
+
+    LedgerReport(LedgerPartitions ledgers, EventLog log) {
+        this.ledgers = ledgers;
+        this.log = log;
+        this.reportedCalls = new long[ledgers.all().size()];
+    }
+
+    void tick(long nowMillis) {
+        if (nowMillis < nextReportAtMillis) {
+            return;
+        }
+        nextReportAtMillis = nowMillis + REPORT_MILLIS;
+        for (int i = 0; i < reportedCalls.length; i++) {
+            report(i, ledgers.get(i));
+        }
+    }
+
+    private void report(int partition, SharedObject<LedgerBook> ledger) {
+        SharedObject.Counters counters = ledger.counters();
+        long calls = counters.reads() + counters.writes();
+        if (calls == reportedCalls[partition] && ledger.idle()) {
+            return;
+        }
+        reportedCalls[partition] = calls;
+        log.belief("ledger_used")
+                .with("ledger", ledger.key())
+                .with("reads", counters.reads())
+                .with("writes", counters.writes())
+                .with("conflicts", counters.conflicts())
+                .with("unknown_outcomes", counters.unknownOutcomes())
+                .with("changes_committed", counters.mutationsCommitted())
+                .with("value_bytes", counters.valueBytes())
+                .with("changes_waiting", ledger.queued())
+                .write();
+    }
+}
--- a/src/main/java/org/radishspan/peer/Peer.java
+++ b/src/main/java/org/radishspan/peer/Peer.java
@@ -13,6 +13,7 @@
     boolean listed = true;
     boolean draining;
     boolean storeAway;
+    boolean silent = true;
     long lastHeardMillis;
     long lastResetMillis;
     long unlistedAtMillis;
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -67,6 +67,9 @@
 
         /** Hears that a router process is alive. */
         void onProcessAlive(String incarnation);
+
+        /** Hears that a VM fell silent, or is heard again. */
+        default void onSilenceChanged(String vm, boolean silent, long quietMillis) {}
     }
 
     private static final long GONE_AFTER_UNLISTED_MILLIS = 3_000;
@@ -341,6 +344,7 @@
         for (Peer peer : new ArrayList<>(table.rows())) {
             resetSilent(peer);
             send(peer, report);
+            noticeSilence(peer);
             noticeGone(peer);
         }
     }
@@ -353,6 +357,14 @@
         }
     }
 
+    private void noticeSilence(Peer peer) {
+        boolean silent = !table.alive(peer);
+        if (silent != peer.silent) {
+            peer.silent = silent;
+            handlers.onSilenceChanged(peer.vm, silent, nowMillis - peer.lastHeardMillis);
+        }
+    }
+
     private void noticeGone(Peer peer) {
         boolean silent = nowMillis - peer.lastHeardMillis >= table.silentMillis();
         boolean unlisted = !peer.listed && nowMillis - peer.unlistedAtMillis >= GONE_AFTER_UNLISTED_MILLIS;
--- a/src/main/java/org/radishspan/store/SharedObject.java
+++ b/src/main/java/org/radishspan/store/SharedObject.java
@@ -76,6 +76,7 @@
         private long conflicts;
         private long unknownOutcomes;
         private long mutationsCommitted;
+        private long valueBytes;
 
         /** Returns the reads sent. */
         public long reads() {
@@ -101,6 +102,11 @@
         public long mutationsCommitted() {
             return mutationsCommitted;
         }
+
+        /** Returns the length of the value last read or written. */
+        public long valueBytes() {
+            return valueBytes;
+        }
     }
 
     /** One submitted mutation. */
@@ -198,6 +204,11 @@
         return !busy && queue.isEmpty();
     }
 
+    /** Returns how many mutations wait for the next write. */
+    public int queued() {
+        return queue.size();
+    }
+
     /** Queues a mutation; the consumer is called once, with the committed state or the refusal. */
     public Ticket submit(Mutation<S> mutation, Consumer<Either<Failure, S>> done) {
         submitCount++;
@@ -255,6 +266,7 @@
         readSinceWrite = true;
         StoredObject stored = reply.get();
         contended = stored.version() != version;
+        counters.valueBytes = stored.value().length;
         if (stored.version() >= version) {
             state = codec.decode().apply(stored.value());
             version = stored.version();
@@ -310,7 +322,9 @@
         for (Ticket ticket : batch) {
             ticket.written = true;
         }
-        ports.store().put(key, version, codec.encode().apply(next), reply -> onWritten(reply, batch, refusals, next));
+        byte[] value = codec.encode().apply(next);
+        counters.valueBytes = value.length;
+        ports.store().put(key, version, value, reply -> onWritten(reply, batch, refusals, next));
     }
 
     private void onWritten(Either<Failure, Long> reply, List<Ticket> batch, List<Either<Failure, S>> refusals, S next) {
--- a/src/test/java/org/radishspan/peer/PeerSystemTest.java
+++ b/src/test/java/org/radishspan/peer/PeerSystemTest.java
@@ -23,6 +23,7 @@
     private static final class Harness implements PeerLink, PeerSystem.Handlers {
         private final List<String> resets = new ArrayList<>();
         private final List<PeerMessage> sent = new ArrayList<>();
+        private final List<String> silenceChanges = new ArrayList<>();
         private final PeerSystem peers =
                 new PeerSystem(new PeerSystem.Self("vm-0", "vm-0-1", "a"), this, this, () -> 0, () -> 0);
         private long nowMillis;
@@ -83,6 +84,11 @@
         @Override
         public void onRevision(long revision) {}
 
+        @Override
+        public void onSilenceChanged(String vm, boolean silent, long quietMillis) {
+            silenceChanges.add(vm + (silent ? " silent" : " heard"));
+        }
+
         @Override
         public void onProcessGone(String incarnation) {}
 
@@ -151,5 +157,18 @@
             }
             assertEquals(harness.resets, List.of("vm-1"));
         }
+
+        @Test
+        public void areToldOnceAndAgainWhenTheyAreHeard() {
+            Harness harness = new Harness(1);
+            harness.heartbeat("vm-1", false);
+            harness.pass(500);
+            harness.pass(500);
+            assertEquals(harness.silenceChanges, List.of("vm-1 heard"));
+            for (int i = 0; i < 5; i++) {
+                harness.pass(500);
+            }
+            assertEquals(harness.silenceChanges, List.of("vm-1 heard", "vm-1 silent"));
+        }
     }
 }
