Let changes collect before the next watch call; idle routers tick every 25 ms

Cause: fan-out. Each change of a kind answers the waiting call of every router, and each router called again at once: 75 routers and 66 targets that start one by one cost some 10,000 calls. The watch of the routers' own kind went on every 2 s although heartbeats tell the same. Idle routers ran all systems a hundred times a second. What callers saw: nothing directly; the fleet's calls to the store and its processor time. Ruled out: ledgers. Change: KindWatch.Pace: after changes a pause that keeps the fleet at 300 calls a second a kind (20 ms at 6 routers, 250 ms at 75); calls wait for 1 s less than the time after which a VM counts as undisturbed (2 s, 3 s on grown sites), those for routers 10 s. Tick of 25 ms.

--- a/src/main/java/org/radishspan/front/FrontProcess.java
+++ b/src/main/java/org/radishspan/front/FrontProcess.java
@@ -49,8 +49,8 @@
     /** The process stopped, but requests or shares were left over. */
     public static final int EXIT_LEFT_OVER = 5;
 
-    /** How often systems run when nothing happens; timeouts are as exact as this. */
-    private static final long TICK_MILLIS = 10;
+    /** How often systems run when nothing happens; timeouts are as exact as this, and the shortest is 100 ms. */
+    private static final long TICK_MILLIS = 25;
 
     /** The platform asks each second and stops sending new connections after two misses. */
     private static final long READINESS_SEEN_MILLIS = 2_600;
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -95,6 +95,19 @@
     /** The part of the store's rates that ledgers may use; watches and lists take the rest. */
     private static final double LEDGER_RATE_FRACTION = 0.5;
 
+    /** Calls that all routers together make for the changes of one kind, a quarter of the smaller deployments' rate of writes. */
+    private static final long FLEET_WATCH_CALLS_PER_SECOND = 300;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    /** A watch on a silent connection has to fail, and the next one to answer, before the VM counts as undisturbed again. */
+    private static final long SILENCE_NOTICED_MILLIS = 1_000;
+
+    private static final long LEAST_WATCH_MILLIS = 1_000;
+
+    /** Who the other routers are is seen from their heartbeats as well. */
+    private static final long ROUTERS_WATCH_MILLIS = 10_000;
+
     /** A router that knows no others would keep every budget and write ledgers itself, as all that start at one moment. */
     private static final long ROUTERS_WAIT_MILLIS = 1_000;
 
@@ -148,11 +161,13 @@
         this.settings = settings;
         this.self = self;
         this.startMillis = ports.clockMillis().getAsLong();
+        long watchMillis = Math.max(LEAST_WATCH_MILLIS, settings.bounds().contactMillis() - SILENCE_NOTICED_MILLIS);
         this.configuration = new ConfigurationInForce(ConfigurationCodec.NAME, ports.log(), this::onConfiguration);
-        this.configurationWatch = watch(ConfigurationCodec.KIND, ConfigurationCodec::decode, configuration, ports);
+        this.configurationWatch =
+                watch(ConfigurationCodec.KIND, ConfigurationCodec::decode, configuration, watchMillis);
         this.targetDirectory = new TargetDirectory(
                 targets, this::targetStoreFailedWithin, ports.log(), target -> relay().onTargetEnded(target));
-        this.targetWatch = watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, ports);
+        this.targetWatch = watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, watchMillis);
         this.objectPorts = new SharedObject.Ports(
                 ports.store(),
                 new CallBudget(
@@ -171,7 +186,7 @@
                 configuration::version,
                 this::requestsInProgress);
         this.routers = new RouterDirectory(self, ports.kinds(), ports.log(), peers::replace);
-        this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, routers, ports);
+        this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, routers, ROUTERS_WATCH_MILLIS);
         this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers), COMBINER_ANSWER_MILLIS);
         this.shares = new ShareSystem(
                 new ShareSystem.Identity(self.vm(), self.incarnation(), ports.bootId()),
@@ -207,9 +222,14 @@
                 new RetryBudget.Bound(bounds.retryRatio(), bounds.retryWindowMillis(), bounds.retrySlack()));
     }
 
-    private static <T> KindWatch<T> watch(
-            String kind, Function<JsonNode, Optional<T>> decoder, KindWatch.Listener<T> listener, Ports ports) {
-        return new KindWatch<>(kind, ports.kinds(), decoder, listener, ports.random(), ports.log());
+    private <T> KindWatch<T> watch(
+            String kind, Function<JsonNode, Optional<T>> decoder, KindWatch.Listener<T> listener, long waitMillis) {
+        KindWatch.Pace pace = new KindWatch.Pace(waitMillis, this::watchPauseMillis);
+        return new KindWatch<>(kind, ports.kinds(), decoder, listener, pace, ports.random(), ports.log());
+    }
+
+    private long watchPauseMillis() {
+        return routerCount() * MILLIS_PER_SECOND / FLEET_WATCH_CALLS_PER_SECOND;
     }
 
     private boolean targetStoreFailedWithin(long millis) {
--- a/src/main/java/org/radishspan/platform/ObjectApi.java
+++ b/src/main/java/org/radishspan/platform/ObjectApi.java
@@ -35,9 +35,6 @@
     /** A call that has no answer after this time has failed; the store answers in 4 ms when it is well. */
     private static final long TIMEOUT_MILLIS = 500;
 
-    /** How long a watch waits for a change: one call every two seconds for each kind and router. */
-    private static final long WATCH_MILLIS = 2_000;
-
     /** A waiting watch without an answer this long after its time has failed. */
     private static final long WATCH_SLACK_MILLIS = 600;
 
@@ -145,12 +142,12 @@
     }
 
     @Override
-    public void watch(String kind, long aboveRevision, Consumer<Either<Failure, Changes>> reply) {
+    public void watch(String kind, long aboveRevision, long waitMillis, Consumer<Either<Failure, Changes>> reply) {
         call(
                 "GET",
-                PATH + kind + "?watch=" + aboveRevision + "&wait_ms=" + WATCH_MILLIS,
+                PATH + kind + "?watch=" + aboveRevision + "&wait_ms=" + waitMillis,
                 new byte[0],
-                WATCH_MILLIS + WATCH_SLACK_MILLIS,
+                waitMillis + WATCH_SLACK_MILLIS,
                 answer -> reply.accept(answer.flatMap(ObjectApi::changes)));
     }
 
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -39,6 +40,14 @@
         default void onListed() {}
     }
 
+    /**
+     * How often a view calls the store.
+     *
+     * @param waitMillis how long a call waits for changes; a connection that has gone silent is noticed soon after
+     * @param pauseMillis how long changes are let collect before the next call, as each one costs a call of every router
+     */
+    public record Pace(long waitMillis, LongSupplier pauseMillis) {}
+
     // Spreads the calls of many routers after an outage of the store.
     private static final long FIRST_BACKOFF_MILLIS = 50;
     private static final long MAX_BACKOFF_MILLIS = 400;
@@ -47,6 +56,7 @@
     private final ObjectKinds store;
     private final Function<JsonNode, Optional<T>> decoder;
     private final Listener<T> listener;
+    private final Pace pace;
     private final UniformRandomProvider random;
     private final EventLog log;
     private final Set<String> present = new HashSet<>();
@@ -69,12 +79,14 @@
             ObjectKinds store,
             Function<JsonNode, Optional<T>> decoder,
             Listener<T> listener,
+            Pace pace,
             UniformRandomProvider random,
             EventLog log) {
         this.kind = kind;
         this.store = store;
         this.decoder = decoder;
         this.listener = listener;
+        this.pace = pace;
         this.random = random;
         this.log = log;
     }
@@ -106,7 +118,7 @@
         }
         inFlight = true;
         if (synced) {
-            store.watch(kind, revision, this::onChanges);
+            store.watch(kind, revision, pace.waitMillis(), this::onChanges);
         } else {
             store.list(kind, afterName, this::onPage);
         }
@@ -172,6 +184,9 @@
             onChange(change);
         }
         revision = Math.max(revision, reply.get().revision());
+        if (!reply.get().changes().isEmpty()) {
+            notBeforeMillis = nowMillis + pace.pauseMillis().getAsLong();
+        }
     }
 
     private void onChange(ObjectKinds.Change change) {
--- a/src/main/java/org/radishspan/store/ObjectKinds.java
+++ b/src/main/java/org/radishspan/store/ObjectKinds.java
@@ -50,8 +50,12 @@
     /** Lists a kind from behind a name; an empty name starts the list. */
     void list(String kind, String afterName, Consumer<Either<Failure, Page>> reply);
 
-    /** Waits for changes above a revision; fails with {@code CONFLICT} if that part of the history is gone. */
-    void watch(String kind, long aboveRevision, Consumer<Either<Failure, Changes>> reply);
+    /**
+     * Waits for changes above a revision; fails with {@code CONFLICT} if that part of the history is gone.
+     *
+     * @param waitMillis after what time the call is answered although there are none
+     */
+    void watch(String kind, long aboveRevision, long waitMillis, Consumer<Either<Failure, Changes>> reply);
 
     /** Writes the content of an object without a condition, and creates it where it is absent. */
     void write(String kind, String name, JsonNode content, Consumer<Either<Failure, Long>> reply);
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -89,7 +89,6 @@
     private static final long TICK_MICROS = 10 * MICROS;
     private static final long STORE_MICROS = 4 * MICROS;
     private static final long PEER_MICROS = MICROS;
-    private static final long WATCH_MICROS = 2_000 * MICROS;
     private static final long TIMEOUT_MICROS = 500 * MICROS;
     private static final long WORK_MICROS = 700 * MICROS;
     private static final long REBOOT_CLOCK_MILLIS = 9_000_000;
@@ -254,7 +253,7 @@
         }
 
         @Override
-        public void watch(String kind, long aboveRevision, Consumer<Either<Failure, Changes>> reply) {
+        public void watch(String kind, long aboveRevision, long waitMillis, Consumer<Either<Failure, Changes>> reply) {
             if (cut(reply)) {
                 return;
             }
@@ -262,7 +261,7 @@
                     new Watcher(kind, aboveRevision, result -> answer(nowMicros + STORE_MICROS, reply, result));
             if (!wake(watcher)) {
                 watchers.add(watcher);
-                at(nowMicros + WATCH_MICROS, () -> {
+                at(nowMicros + waitMillis * MICROS, () -> {
                     if (watchers.remove(watcher)) {
                         watcher.reply().accept(Either.right(new Changes(List.of(), revision)));
                     }
--- a/src/test/java/org/radishspan/store/KindWatchTest.java
+++ b/src/test/java/org/radishspan/store/KindWatchTest.java
@@ -39,7 +39,7 @@
         }
 
         @Override
-        public void watch(String kind, long aboveRevision, Consumer<Either<Failure, Changes>> reply) {
+        public void watch(String kind, long aboveRevision, long waitMillis, Consumer<Either<Failure, Changes>> reply) {
             calls.add("watch " + aboveRevision);
             watches.add(reply);
         }
@@ -59,6 +59,7 @@
         private final Store store = new Store();
         private final Map<String, String> view = new TreeMap<>();
         private long nowMillis;
+        private long pauseMillis;
         private final KindWatch<String> watch = new KindWatch<>(
                 "kind",
                 store,
@@ -74,6 +75,7 @@
                         view.remove(name);
                     }
                 },
+                new KindWatch.Pace(2_000, () -> pauseMillis),
                 RandomSource.XO_SHI_RO_256_PP.create(1),
                 EventLog.silent());
 
@@ -141,6 +143,27 @@
 
     /** Watches. */
     public static class Watches {
+        /** While 75 routers and 66 targets started, each entry cost a call of every router. */
+        @Test
+        public void letChangesCollectBeforeTheNextCall() {
+            Harness harness = listed();
+            harness.pauseMillis = 250;
+            harness.changes(11, new ObjectKinds.Change(entry("c", "3"), false));
+            assertTrue(harness.store.watches.isEmpty());
+            harness.tick(247);
+            assertTrue(harness.store.watches.isEmpty());
+            harness.tick(2);
+            assertEquals(harness.store.calls.peekLast(), "watch 11");
+        }
+
+        @Test
+        public void withoutChangesGoOnAtOnce() {
+            Harness harness = listed();
+            harness.pauseMillis = 250;
+            harness.changes(11);
+            assertEquals(harness.store.calls.peekLast(), "watch 11");
+        }
+
         @Test
         public void changeTheView() {
             Harness harness = listed();
