Hold less than a call and fewer deviations at each keeper, and give back what exceeds a tenth

Cause: of small budgets three keepers still held a call and a deviation each, and up to 1.25 times their aim. What callers saw: up to 15 s of a small workspace's demand is forfeited by a loss of power, more than its budget has to spare (14.4 s). Change: a quarter of a call and 0.2 deviations beyond the demand of 8 s, given back above 1.1 times the aim; the test plays five seeds.

--- a/src/main/java/org/radishspan/budget/ShareSizing.java
+++ b/src/main/java/org/radishspan/budget/ShareSizing.java
@@ -6,7 +6,7 @@
 final class ShareSizing {
     private static final long RATE_PERIOD_MILLIS = 1_000;
     private static final double MILLIS_PER_SECOND = 1_000.0;
-    private static final double EXCESS_FACTOR = 1.25;
+    private static final double EXCESS_FACTOR = 1.1;
     private static final double CALL_SMOOTHING = 0.05;
 
     /** Deviations beyond the mean; a share that runs short of its bound waits for one write of the ledger only. */
--- a/src/main/java/org/radishspan/front/ShareSettings.java
+++ b/src/main/java/org/radishspan/front/ShareSettings.java
@@ -43,11 +43,11 @@
     /** A share is filled up when a tenth is gone, about a second of demand; routers report to the ledger more often than that. */
     private static final double LOW_WATER_FRACTION = 0.9;
 
-    /** The keepers of a budget together hold the next call of any workspace. */
-    private static final double CALLS_HELD = 0.5;
+    /** The keepers of a budget, three or four, together hold the next call of any workspace. */
+    private static final double CALLS_HELD = 0.25;
 
-    /** A share covers two of three cuts of the horizon's length; the keepers of a budget help each other out. */
-    private static final double SAFETY_DEVIATIONS = 0.4;
+    /** A share covers little more than the mean of cuts of the horizon's length, as the keepers of a budget help each other out. */
+    private static final double SAFETY_DEVIATIONS = 0.2;
 
     /** Notices that a share is short: each sets off answers of all other routers. */
     private static final long NOTICE_MILLIS = 200;
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -22,9 +22,9 @@
     private static final long DAY_SECONDS = 48;
 
     /** The users' first deployments: six routers, ten workspaces, 50 calls a second that need tokens. */
-    private static FrontFleet small() {
+    private static FrontFleet small(int seed) {
         FrontFleet fleet =
-                new FrontFleet(new FrontFleet.Layout(6, 3, 10, 50, DAY_SECONDS * (1 + SLACK), 125_000, 200), 1);
+                new FrontFleet(new FrontFleet.Layout(6, 3, 10, 50, DAY_SECONDS * (1 + SLACK), 125_000, 200), seed);
         fleet.pass(SETTLE_DOWN_MILLIS);
         return fleet;
     }
@@ -36,9 +36,14 @@
 
         private static final long RECOVERY_MILLIS = 12_000;
 
-        @Test
-        public void takesNoMoreThanTheSlackOfAnyBudget() {
-            FrontFleet fleet = small();
+        @DataProvider
+        public Object[][] seeds() {
+            return new Object[][] {{1}, {2}, {3}, {4}, {5}};
+        }
+
+        @Test(dataProvider = "seeds")
+        public void takesNoMoreThanTheSlackOfAnyBudget(int seed) {
+            FrontFleet fleet = small(seed);
             fleet.serve(24_000);
             fleet.powerOffAll(LOSS_MILLIS);
             fleet.pass(LOSS_MILLIS + 1_000);
@@ -52,7 +57,7 @@
 
         @Test
         public void twiceInADayLeavesTokensForCallsAfterTheRecovery() {
-            FrontFleet fleet = small();
+            FrontFleet fleet = small(1);
             fleet.serve(12_000);
             fleet.powerOffAll(LOSS_MILLIS);
             fleet.serve(12_000);
