Tell callers to come back later where only a top-up helps

Cause: a refusal for want of tokens said 'come back in 600 ms' even where the ledger knows that the fleet has too few tokens left, among them those that a loss of power took and that never come back. Change: ShareSystem.needsTopUp, told by keepers; Retry-After of 10 s in that case.

--- a/src/main/java/org/radishspan/budget/ShareSizing.java
+++ b/src/main/java/org/radishspan/budget/ShareSizing.java
@@ -76,6 +76,11 @@
         return keptTokens > 0 && spendableTokens(share) - tokens < keptTokens;
     }
 
+    /** Returns whether a call needs more than can still be spent. */
+    boolean isBeyondSpendable(Share share, long tokens) {
+        return spendableTokens(share) < tokens;
+    }
+
     /**
      * Returns whether a call needs more than a router holds on average of what can still be spent: with nothing free in the
      * ledger, no other router can spare that much.
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -135,6 +135,17 @@
         return share == null || !share.accountSeen ? OptionalLong.empty() : OptionalLong.of(share.unspentTokens);
     }
 
+    /**
+     * Returns whether the fleet has too few tokens left for a call, as the ledger last told; what ended routers may have spent
+     * does not come back.
+     */
+    public boolean needsTopUp(String budget, long tokens, boolean deferrable) {
+        Share share = table.get(budget);
+        return share != null
+                && share.accountSeen
+                && (sizing.isBeyondSpendable(share, tokens) || keptForUrgentCalls(share, tokens, deferrable));
+    }
+
     /** Returns the shares. */
     public ShareTable table() {
         return table;
--- a/src/main/java/org/radishspan/budget/TokenClient.java
+++ b/src/main/java/org/radishspan/budget/TokenClient.java
@@ -171,7 +171,8 @@
                 "",
                 shares.unspentTokens(search.budget),
                 shares.ledgerSilentMillis(),
-                shares.boundMillisLeft(search.budget, search.tokens));
+                shares.boundMillisLeft(search.budget, search.tokens),
+                shares.needsTopUp(search.budget, search.tokens, search.deferrable));
     }
 
     private void ask(Search search, String vm, long answerMillis) {
@@ -213,7 +214,8 @@
                 search.asking,
                 answer.hasUnspentTokens() ? OptionalLong.of(answer.getUnspentTokens()) : OptionalLong.empty(),
                 answer.getLedgerSilentMillis(),
-                answer.getBoundMillisLeft())));
+                answer.getBoundMillisLeft(),
+                answer.getUntilTopUp())));
     }
 
     /** Notes that the connection to a router is lost; its answers will not come. */
--- a/src/main/java/org/radishspan/budget/TokenKeeper.java
+++ b/src/main/java/org/radishspan/budget/TokenKeeper.java
@@ -82,7 +82,8 @@
             answer.setErrorKind(result.getLeft().kind().wireName())
                     .setErrorMessage(result.getLeft().message())
                     .setLedgerSilentMillis(shares.ledgerSilentMillis())
-                    .setBoundMillisLeft(shares.boundMillisLeft(call.getBudget(), call.getTokens()));
+                    .setBoundMillisLeft(shares.boundMillisLeft(call.getBudget(), call.getTokens()))
+                    .setUntilTopUp(shares.needsTopUp(call.getBudget(), call.getTokens(), call.getDeferrable()));
             shares.unspentTokens(call.getBudget()).ifPresent(answer::setUnspentTokens);
         }
         answers.accept(vm, answer.build());
--- a/src/main/java/org/radishspan/budget/TokenSource.java
+++ b/src/main/java/org/radishspan/budget/TokenSource.java
@@ -29,13 +29,15 @@
      * @param unspentTokens the unspent tokens of the whole fleet; empty if they are not known there
      * @param ledgerSilentMillis for how long the ledger has left a request of that router without an answer
      * @param boundMillisLeft after what time its share can spend the tokens by itself; 0 if it holds too few
+     * @param untilTopUp whether the fleet has too few tokens left for the call until the budget is topped up
      */
     record Refusal(
             Failure failure,
             String keeper,
             OptionalLong unspentTokens,
             long ledgerSilentMillis,
-            long boundMillisLeft) {}
+            long boundMillisLeft,
+            boolean untilTopUp) {}
 
     /**
      * Reserves tokens now or as soon as there are some; refused when none came in time.
--- a/src/main/java/org/radishspan/relay/TokenMeter.java
+++ b/src/main/java/org/radishspan/relay/TokenMeter.java
@@ -15,6 +15,9 @@
     /** When callers come back for tokens that other routers hold; those give back what they can spare within a second. */
     private static final long NO_TOKENS_RETRY_MILLIS = 600;
 
+    /** Operators top budgets up by a change of the configuration, which takes them longer than a caller usually waits. */
+    private static final long TOP_UP_RETRY_MILLIS = 10_000;
+
     /** The latest time for which callers are told to come back during an outage of the ledger. */
     private static final long MAX_OUTAGE_RETRY_MILLIS = 4_000;
 
@@ -71,6 +74,7 @@
                 .with("bound_ms_left", refusal.boundMillisLeft())
                 .with("unspent_tokens", unspent.orElse(-1))
                 .with("used_up", usedUp)
+                .with("until_top_up", refusal.untilTopUp())
                 .write();
         if (usedUp) {
             return Failure.notRun(ErrorKind.BUDGET_EXHAUSTED, failure.message());
@@ -83,6 +87,9 @@
         if (silentMillis > 0 && refusal.boundMillisLeft() > 0) {
             return refusal.boundMillisLeft();
         }
+        if (refusal.untilTopUp()) {
+            return TOP_UP_RETRY_MILLIS;
+        }
         // An outage that has lasted for some time lasts as long again on average.
         return Math.max(NO_TOKENS_RETRY_MILLIS, Math.min(MAX_OUTAGE_RETRY_MILLIS, silentMillis));
     }
--- a/src/test/java/org/radishspan/budget/TokenClientTest.java
+++ b/src/test/java/org/radishspan/budget/TokenClientTest.java
@@ -11,6 +11,7 @@
 import io.vavr.control.Either;
 import org.radishspan.bench.ShareFleet;
 import org.radishspan.error.ErrorKind;
+import org.radishspan.proto.AccountState;
 import org.radishspan.proto.ReserveTokens;
 import org.radishspan.proto.SettleTokens;
 import org.radishspan.proto.TokensReserved;
@@ -158,6 +159,20 @@
             assertEquals(harness.granted().tokens(), 30_000);
         }
 
+        /** Callers came back after 600 ms for tokens that were lost with a power loss, and were refused again. */
+        @Test
+        public void thatALossOfAllRoutersTookAreNotToldToComeBackSoon() {
+            Harness harness = new Harness();
+            harness.fleet.serve(8_000, 100, CALL_TOKENS, false);
+            harness.fleet.killAll(20_000);
+            AccountState account = harness.fleet.account();
+            long spendable = Accounts.unspentTokens(account) - Accounts.forfeitedTokens(account);
+            assertTrue(Accounts.forfeitedTokens(account) > 0);
+            ShareSystem shares = harness.fleet.shares(0);
+            assertTrue(shares.needsTopUp(ShareFleet.BUDGET, spendable + 1, false));
+            assertFalse(shares.needsTopUp(ShareFleet.BUDGET, spendable - 1, false));
+        }
+
         @Test
         public void areRefusedWithWhatTheKeeperKnowsOfTheBudget() {
             Harness harness = new Harness();
@@ -166,6 +181,7 @@
             TokenSource.Refusal refusal = harness.results.get(0).getLeft();
             assertEquals(refusal.failure().kind(), ErrorKind.BUDGET_EXHAUSTED);
             assertTrue(refusal.unspentTokens().orElseThrow() < 100_000);
+            assertTrue(refusal.untilTopUp());
         }
     }
 
