Fold closed shares of adopted limits into their accounts

Cause: state that only grows. What callers saw: nothing yet; the object, and with it each write, grew by 5 KB with each loss of power of FrontFleet. Evidence: FrontFleet, 75 routers: 5.6 KB before, 10.6 KB after one loss of power. Ruled out: shares of routers that stop in the ordinary way, which they retire. Change: Ledger.finalizeClosed counts the whole grant of such a share as used up, AccountState.lost_tokens the part without a bill. Figures: LedgerTest.KilledProcesses: 20 lives leave no share (20 before). Conclusion: the object grows with open shares only.

--- a/src/main/java/org/radishspan/budget/Accounts.java
+++ b/src/main/java/org/radishspan/budget/Accounts.java
@@ -14,7 +14,7 @@
 
     /** Returns the billed tokens of an account. */
     public static long billedTokens(AccountState account) {
-        long total = account.getClosedSpentTokens();
+        long total = account.getClosedSpentTokens() - account.getLostTokens();
         for (ShareState share : account.getSharesList()) {
             total += spentTokens(share);
         }
@@ -42,12 +42,13 @@
                         && !share.getShareId().equals(shareId));
     }
 
-    /** Returns the unspent tokens that closed shares of an account still hold. */
+    /** Returns the unspent tokens that closed shares of an account hold, or held until they were removed. */
     public static long forfeitedTokens(AccountState account) {
-        return account.getSharesList().stream()
-                .filter(ShareState::getClosed)
-                .mapToLong(share -> share.getGrantedTokens() - spentTokens(share))
-                .sum();
+        return account.getLostTokens()
+                + account.getSharesList().stream()
+                        .filter(ShareState::getClosed)
+                        .mapToLong(share -> share.getGrantedTokens() - spentTokens(share))
+                        .sum();
     }
 
     /** Returns the billed tokens of a share. */
--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -290,6 +290,8 @@
             for (ShareState share : account.getSharesList()) {
                 if (settledForGood(account, share)) {
                     result = removeShare(result, account.getBudget(), share.getShareId());
+                } else if (share.getClosed() && account.getLimitVersion() > 0) {
+                    result = foldShare(result, account.getBudget(), share.getShareId());
                 }
             }
         }
@@ -341,6 +343,20 @@
                 .anyMatch(candidate -> candidate.getIncarnation().equals(holder) && !candidate.getReleased());
     }
 
+    /** Removes a closed share and counts its whole grant as used up, as no operator gives the rest of it back. */
+    private static LedgerBook foldShare(LedgerBook state, String budget, String shareId) {
+        AccountState account = state.find(budget).orElseThrow();
+        ShareState share = account.getShares(indexOf(account, shareId));
+        long restTokens = share.getGrantedTokens() - Accounts.spentTokens(share);
+        return removeShare(
+                state.with(account.toBuilder()
+                        .setClosedSpentTokens(account.getClosedSpentTokens() + restTokens)
+                        .setLostTokens(account.getLostTokens() + restTokens)
+                        .build()),
+                budget,
+                shareId);
+    }
+
     static LedgerBook removeShare(LedgerBook state, String budget, String shareId) {
         AccountState account = state.find(budget).orElseThrow();
         int index = indexOf(account, shareId);
--- a/src/test/java/org/radishspan/budget/LedgerTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerTest.java
@@ -183,4 +183,23 @@
             assertEquals(Accounts.freeTokens(account(state)), 100);
         }
     }
+
+    /** Shares of processes that were killed stayed in the ledger for ever, 95 bytes a restart, VM and budget. */
+    public static class KilledProcesses {
+        @Test
+        public void ofAnAdoptedLimitLeaveOnlyASumBehind() {
+            LedgerBook book = apply(LedgerBook.EMPTY, AccountChanges.adoptLimit(BUDGET, 10_000, 1));
+            for (int life = 1; life <= 20; life++) {
+                String incarnation = "p" + life % 10;
+                book = apply(book, grant(incarnation + "." + life, 1, 100));
+                book = apply(book, Ledger.settle(BUDGET, new Ledger.Settlement(incarnation + "." + life, 1, 40, 0, 0)));
+                book = apply(book, Ledger.closeEarlier(new Ledger.ProcessStart("vm", "next", 0, 0)));
+            }
+            AccountState account = account(book);
+            assertEquals(account.getSharesCount(), 0);
+            assertEquals(Accounts.billedTokens(account), 20 * 40);
+            assertEquals(Accounts.forfeitedTokens(account), 20 * 60);
+            assertEquals(Accounts.freeTokens(account), 10_000 - 20 * 100);
+        }
+    }
 }
