Spread the first heartbeats of a large fleet

Cause: synchronised start. A router sent its first heartbeat to every other one as soon as it read their list: 5,550 connections with a proof each in the second in which 75 routers come back, on 0.36 of a core. Evidence: the run of: 'start' 75 times between seconds 35.2 and 36.1, 'ready' 7 times until 36.5. Ruled out: the ledger (18 lines no_tokens in that time, none of them for a silent ledger but five). Change: PeerTable.firstReportAtMillis: from 12 routers on the first report to each peer is spread by a hash over the time between two reports; each peer has its own time for the next. PeerSystemTest.Start failed before.

--- a/src/main/java/org/radishspan/peer/Peer.java
+++ b/src/main/java/org/radishspan/peer/Peer.java
@@ -18,6 +18,7 @@
     long combinerUnansweredAtMillis = Long.MIN_VALUE / 2;
     long lastHeardMillis;
     long lastResetMillis;
+    long nextReportAtMillis;
     long unlistedAtMillis;
     long configRevision;
     int requestsInFlight;
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -93,6 +93,9 @@
     /** The connection to a router that missed so many reports is given up. */
     private static final int SILENT_REPORTS = 3;
 
+    /** How often a router looks which reports are due: a tenth of the shortest time between two of them. */
+    private static final long LOOK_MILLIS = 50;
+
     private static final long MAX_PENDING_HANDOVERS = 10_000;
 
     private final Self self;
@@ -103,7 +106,8 @@
     private final PeerTable table;
     private final Map<Long, Consumer<Boolean>> pendingHandovers = new LinkedHashMap<>();
     private long handoverCount;
-    private long nextReportAtMillis;
+    private long lookAtMillis;
+    private boolean reportToAll;
     private long nowMillis;
     private boolean draining;
 
@@ -126,14 +130,14 @@
     /** Tells peers, at once and from now on, that this router is stopping. */
     public void drain() {
         draining = true;
-        nextReportAtMillis = nowMillis;
+        reportToAll = true;
     }
 
     /** Says whether this router can reach the store; peers are told at once when that changes. */
     public void noteStoreAway(boolean away) {
         if (table.selfStoreAway() != away) {
             table.setSelfStoreAway(away);
-            nextReportAtMillis = nowMillis;
+            reportToAll = true;
         }
     }
 
@@ -146,7 +150,7 @@
                 continue;
             }
             names.add(vm.name());
-            put(vm);
+            put(vm, routers.size());
         }
         for (Peer peer : table.rows()) {
             if (!names.contains(peer.vm) && peer.listed) {
@@ -156,10 +160,12 @@
         }
     }
 
-    private void put(ListedVm vm) {
+    private void put(ListedVm vm, int routers) {
         Peer peer = table.get(vm.name());
         if (peer == null) {
-            table.add(new Peer(vm.name(), vm.host(), vm.port(), vm.failureDomain()));
+            Peer added = new Peer(vm.name(), vm.host(), vm.port(), vm.failureDomain());
+            table.add(added);
+            added.nextReportAtMillis = table.firstReportAtMillis(added.vm, routers);
             return;
         }
         peer.host = vm.host();
@@ -359,10 +365,10 @@
     public void tick(long tickMillis) {
         nowMillis = tickMillis;
         table.setNow(tickMillis);
-        if (tickMillis < nextReportAtMillis) {
+        if (tickMillis < lookAtMillis && !reportToAll) {
             return;
         }
-        nextReportAtMillis = tickMillis + table.reportMillis();
+        lookAtMillis = tickMillis + LOOK_MILLIS;
         PeerMessage report = PeerMessage.newBuilder()
                 .setLoad(LoadReport.newBuilder()
                         .setConfigRevision(configRevision.getAsLong())
@@ -372,11 +378,16 @@
                         .setStoreAway(table.selfStoreAway()))
                 .build();
         for (Peer peer : new ArrayList<>(table.rows())) {
+            if (tickMillis < peer.nextReportAtMillis && !reportToAll) {
+                continue;
+            }
+            peer.nextReportAtMillis = tickMillis + table.reportMillis();
             resetSilent(peer);
             send(peer, report);
             noticeSilence(peer);
             noticeGone(peer);
         }
+        reportToAll = false;
     }
 
     private void resetSilent(Peer peer) {
--- a/src/main/java/org/radishspan/peer/PeerTable.java
+++ b/src/main/java/org/radishspan/peer/PeerTable.java
@@ -197,7 +197,20 @@
 
     /** Returns the time between two reports, which grows with the fleet so that the bytes a second do not. */
     long reportMillis() {
-        return REPORT_MILLIS * Math.max(1, rows.size() / PEERS_AT_FULL_RATE);
+        return reportMillis(rows.size());
+    }
+
+    private static long reportMillis(int routers) {
+        return REPORT_MILLIS * Math.max(1, routers / PEERS_AT_FULL_RATE);
+    }
+
+    /**
+     * Returns when a new peer gets its first report. Those of a large fleet are spread over the time between two reports: routers
+     * that start at one moment would else all connect to all others in their first second.
+     */
+    long firstReportAtMillis(String vm, int routers) {
+        boolean few = routers < PEERS_AT_FULL_RATE * 2;
+        return few ? nowMillis : nowMillis + Math.floorMod(rank(self.vm() + "/" + vm), reportMillis(routers));
     }
 
     long silentMillis() {
--- a/src/test/java/org/radishspan/peer/PeerSystemTest.java
+++ b/src/test/java/org/radishspan/peer/PeerSystemTest.java
@@ -171,4 +171,20 @@
             assertEquals(harness.silenceChanges, List.of("vm-1 heard", "vm-1 silent"));
         }
     }
+
+    /** A large fleet whose routers start at one moment. */
+    public static class Start {
+        /** 75 routers opened 5,550 connections in the second in which they recovered from a loss of power. */
+        @Test
+        public void spreadsTheFirstHeartbeatsOverTheTimeBetweenTwo() {
+            Harness harness = new Harness(74);
+            harness.pass(500);
+            int first = harness.sent.size();
+            assertTrue(first > 0 && first < 74 / 4, first + " in the first half second");
+            for (int i = 0; i < 12; i++) {
+                harness.pass(500);
+            }
+            assertTrue(harness.sent.size() >= 74, harness.sent.size() + " within seven seconds");
+        }
+    }
 }
