Write log lines in batches, look at the fleet four times a second

Cause: work for each event of a stream that is needed a few times a second. Each log line woke the writer's thread and cost a system call; each tick hashed the names of all routers to see whether this one combines. Change: EventLog collects lines for 50 ms, at most 256 a write; rates and kept budgets are looked at every 250 ms.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -114,8 +114,8 @@
     /** A router without shares says that it is ready after this time, as the ledger may be away for long. */
     private static final long SHARES_WAIT_MILLIS = 3_000;
 
-    /** How often a router looks which budgets it keeps; who may be asked changes as slowly. */
-    private static final long KEEP_MILLIS = 250;
+    /** How often a router looks what follows from the other routers; who may be asked changes as slowly. */
+    private static final long FLEET_MILLIS = 250;
 
     /** A request may crash three targets; later repeats of it reach none. */
     private static final int CRASHES_BEFORE_QUARANTINE = 3;
@@ -150,7 +150,7 @@
     private final LedgerReport ledgerReport;
     private final Map<String, Long> adoptedLimits = new HashMap<>();
     private boolean earlierClosed;
-    private long keepAtMillis;
+    private long fleetSeenAtMillis;
     private long configuredAtMillis;
     private boolean draining;
     private boolean sharesReady;
@@ -414,11 +414,14 @@
         relay.tick();
         if (draining) {
             shares.retire();
-        } else if (nowMillis >= keepAtMillis && routersKnown()) {
-            keepAtMillis = nowMillis + KEEP_MILLIS;
-            configuration.current().ifPresent(this::keepBudgets);
         }
-        divideRates();
+        if (nowMillis >= fleetSeenAtMillis && routersKnown()) {
+            fleetSeenAtMillis = nowMillis + FLEET_MILLIS;
+            divideRates();
+            if (!draining) {
+                configuration.current().ifPresent(this::keepBudgets);
+            }
+        }
         shares.tick(nowMillis);
         if (routersKnown()) {
             gateway.tick(nowMillis);
--- a/src/main/java/org/radishspan/log/EventLog.java
+++ b/src/main/java/org/radishspan/log/EventLog.java
@@ -1,8 +1,11 @@
 package org.radishspan.log;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -48,6 +51,13 @@
     private static final int RESERVED_LINES = 1_024;
 
     private static final long WRITER_WAIT_MILLIS = 1_000;
+
+    /** A process that is killed takes the lines of this time with it. */
+    private static final long COLLECT_MILLIS = 50;
+
+    /** Lines written at once: about 60 KB at 250 bytes a line. */
+    private static final int MAX_BATCH_LINES = 256;
+
     private static final long SECOND_MILLIS = 1_000;
 
     private static final class Rate {
@@ -88,10 +98,7 @@
             while (!closed || !lines.isEmpty()) {
                 byte[] line = lines.poll(WRITER_WAIT_MILLIS, TimeUnit.MILLISECONDS);
                 if (line != null) {
-                    out.write(line);
-                    if (lines.isEmpty()) {
-                        out.flush();
-                    }
+                    writeWithFollowing(line, lines, out);
                 }
             }
         } catch (IOException e) {
@@ -102,6 +109,23 @@
         }
     }
 
+    /** Writes a line and those that follow within a moment at once, as each write wakes this thread and costs a system call. */
+    private void writeWithFollowing(byte[] first, BlockingQueue<byte[]> lines, OutputStream out)
+            throws IOException, InterruptedException {
+        if (!closed) {
+            Thread.sleep(COLLECT_MILLIS);
+        }
+        List<byte[]> following = new ArrayList<>();
+        lines.drainTo(following, MAX_BATCH_LINES);
+        ByteArrayOutputStream batch = new ByteArrayOutputStream();
+        batch.write(first);
+        for (byte[] line : following) {
+            batch.write(line);
+        }
+        batch.writeTo(out);
+        out.flush();
+    }
+
     /** Ends the writer once the waiting lines are written. */
     public void close() {
         closed = true;
