Keep the connection to a router that was late once

What callers saw: nothing known; found while reading the change again. Evidence: PeerSystem.onUnanswered reset the connection, whose end takes back every ledger change and question sent on it. Ruled out: - Change: the connection goes after the second unanswered question in a row; a late answer no longer counts as a missed heartbeat either. Figures: PeerSystemTest.Silent.onceToAQuestionKeepTheirConnection failed before.

--- a/src/main/java/org/radishspan/peer/Peer.java
+++ b/src/main/java/org/radishspan/peer/Peer.java
@@ -15,6 +15,7 @@
     boolean storeAway;
     boolean silent = true;
     long unansweredAtMillis = Long.MIN_VALUE / 2;
+    int unansweredInRow;
     long combinerUnansweredAtMillis = Long.MIN_VALUE / 2;
     long lastHeardMillis;
     long lastResetMillis;
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -96,6 +96,8 @@
     /** How often a router looks which reports are due: a tenth of the shortest time between two of them. */
     private static final long LOOK_MILLIS = 50;
 
+    private static final int UNANSWERED_BEFORE_RESET = 2;
+
     private static final long MAX_PENDING_HANDOVERS = 10_000;
 
     private final Self self;
@@ -193,6 +195,7 @@
             return;
         }
         peer.lastHeardMillis = nowMillis;
+        peer.unansweredInRow = 0;
         switch (message.getBodyCase()) {
             case HELLO -> onHello(peer, message.getHello());
             case LOAD -> onLoad(peer, message.getLoad());
@@ -398,11 +401,19 @@
         }
     }
 
-    /** Notes that a router did not answer; the next message to it opens another connection. */
+    /**
+     * Notes that a router did not answer a question in time. One that was only slow keeps its connection, on which other answers
+     * may be on their way; after the second time in a row the next message opens another one.
+     */
     public void onUnanswered(String vm) {
-        table.onUnanswered(vm);
         Peer peer = table.get(vm);
-        if (peer != null) {
+        if (peer == null) {
+            return;
+        }
+        peer.unansweredAtMillis = nowMillis;
+        peer.unansweredInRow++;
+        if (peer.unansweredInRow >= UNANSWERED_BEFORE_RESET) {
+            peer.unansweredInRow = 0;
             peer.lastResetMillis = nowMillis;
             link.reset(peer);
         }
--- a/src/test/java/org/radishspan/peer/PeerSystemTest.java
+++ b/src/test/java/org/radishspan/peer/PeerSystemTest.java
@@ -158,6 +158,18 @@
             assertEquals(harness.resets, List.of("vm-1"));
         }
 
+        @Test
+        public void onceToAQuestionKeepTheirConnection() {
+            Harness harness = new Harness(1);
+            harness.heartbeat("vm-1", false);
+            harness.peers.onUnanswered("vm-1");
+            harness.heartbeat("vm-1", false);
+            harness.peers.onUnanswered("vm-1");
+            assertEquals(harness.resets, List.of());
+            harness.peers.onUnanswered("vm-1");
+            assertEquals(harness.resets, List.of("vm-1"));
+        }
+
         @Test
         public void areToldOnceAndAgainWhenTheyAreHeard() {
             Harness harness = new Harness(1);
