Log what limits targets name in their answers

Logs could not tell whether routers know a target's limit, since when and from whom. The header is decoded once in platform/ (a decimal number; what is none, or less than zero, counts as absent, as for Retry-After), kept in the target's row, and each change is one line target_rate_limit with the figure before and its source, and a counter. No decision reads it yet: placing is unchanged.

Evidence: CodecsTest.AnswerHeads.tellHowManyRequestsTheyTake, nine values. RelaySystemTest, TargetTableTest, WireNamesTest pass.

--- a/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
+++ b/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import org.apache.commons.lang3.math.NumberUtils;
@@ -63,6 +64,7 @@
                 load(headers.get(WireHeaders.LOAD)),
                 isLeaving(headers.get(WireHeaders.LEAVING)),
                 status == UNAVAILABLE ? pauseMillis(headers.get(WireHeaders.RETRY_AFTER)) : OptionalLong.empty(),
+                decimal(headers.get(WireHeaders.RATE_LIMIT)),
                 headers.all().stream()
                         .filter(header -> WireHeaders.forCallers(header.getKey()))
                         .toList());
@@ -72,19 +74,22 @@
         return value != null && value.strip().equals("1");
     }
 
-    /**
-     * Reads seconds, also with a fraction. A day is the most that is obeyed; what is no number, or less than zero, counts as
-     * absent.
-     */
+    /** Reads seconds, also with a fraction; a day is the most that is obeyed. */
     private static OptionalLong pauseMillis(@Nullable String value) {
+        OptionalDouble seconds = decimal(value);
+        return seconds.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(
+                        (long) Math.ceil(Math.min(seconds.getAsDouble(), MAX_PAUSE_SECONDS) * MILLIS_PER_SECOND));
+    }
+
+    /** Reads a decimal number; what is none, or less than zero, counts as absent. */
+    private static OptionalDouble decimal(@Nullable String value) {
         if (value == null || !NumberUtils.isParsable(value.strip())) {
-            return OptionalLong.empty();
-        }
-        double seconds = Double.parseDouble(value.strip());
-        if (seconds < 0) {
-            return OptionalLong.empty();
+            return OptionalDouble.empty();
         }
-        return OptionalLong.of((long) Math.ceil(Math.min(seconds, MAX_PAUSE_SECONDS) * MILLIS_PER_SECOND));
+        double number = Double.parseDouble(value.strip());
+        return number < 0 ? OptionalDouble.empty() : OptionalDouble.of(number);
     }
 
     /** Reads the requests at work, the requests waiting and the slots, separated by commas. */
--- a/src/main/java/org/radishspan/platform/WireHeaders.java
+++ b/src/main/java/org/radishspan/platform/WireHeaders.java
@@ -20,6 +20,7 @@
     static final String LOAD = "X-Server-Load";
     static final String RETRY_AFTER = "Retry-After";
     static final String LEAVING = "Server-Leaving";
+    static final String RATE_LIMIT = "Server-Limit";
     private static final String TARGET_ID = "X-Instance-Id";
 
     /** WireHeaders that concern one connection only; lower case. */
--- a/src/main/java/org/radishspan/relay/RelayMetrics.java
+++ b/src/main/java/org/radishspan/relay/RelayMetrics.java
@@ -32,6 +32,7 @@
     private final Counter resumed;
     private final Counter callersGone;
     private final Counter brokenOff;
+    private final Counter rateLimitChanges;
     private final Timer queue;
     private final Timer firstByte;
     private final Timer pause;
@@ -52,6 +53,8 @@
         resumed = Counter.builder("radishspan.relay.resumed.streams").register(registry);
         callersGone = Counter.builder("radishspan.relay.callers.gone").register(registry);
         brokenOff = Counter.builder("radishspan.relay.broken.off").register(registry);
+        rateLimitChanges =
+                Counter.builder("radishspan.relay.target.rate.limit.changes").register(registry);
         queue = timer(registry, "queue");
         firstByte = timer(registry, "first_byte");
         pause = timer(registry, "pause");
@@ -81,6 +84,10 @@
         }
     }
 
+    void onRateLimitChanged() {
+        rateLimitChanges.increment();
+    }
+
     void onRepeated() {
         repeated.increment();
     }
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
@@ -434,6 +435,26 @@
             if (head.leaving() || head.pauseMillis().isPresent()) {
                 moveUnsent(target);
             }
+            noteRateLimit(target, head.requestsPerSecond());
+        }
+
+        private void noteRateLimit(Target target, OptionalDouble requestsPerSecond) {
+            OptionalDouble before = target.requestsPerSecond();
+            if (!ports.targets().onRateLimitSaid(target, requestsPerSecond)) {
+                return;
+            }
+            ports.metrics().onRateLimitChanged();
+            ports.log()
+                    .belief("target_rate_limit")
+                    .with("target", target.name())
+                    .with("requests_per_s", rateText(requestsPerSecond))
+                    .with("requests_per_s_before", rateText(before))
+                    .with("source", "answer")
+                    .write();
+        }
+
+        private static String rateText(OptionalDouble requestsPerSecond) {
+            return requestsPerSecond.isEmpty() ? "" : Double.toString(requestsPerSecond.getAsDouble());
         }
 
         private void moveUnsent(Target target) {
--- a/src/main/java/org/radishspan/relay/TargetProtocol.java
+++ b/src/main/java/org/radishspan/relay/TargetProtocol.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import org.radishspan.http.HttpTransport;
@@ -43,6 +44,7 @@
      * @param load the load that came with it
      * @param leaving whether the target says that it is about to stop
      * @param pauseMillis for how long the target wants nothing more from this router
+     * @param requestsPerSecond what the target takes from all routers together, for as long as it says so
      * @param relayedHeaders the headers to pass on to the caller, in their order
      */
     record AnswerHead(
@@ -54,6 +56,7 @@
             Optional<Load> load,
             boolean leaving,
             OptionalLong pauseMillis,
+            OptionalDouble requestsPerSecond,
             List<Map.Entry<String, String>> relayedHeaders) {
         private static final int FIRST_SUCCESS = 200;
         private static final int FIRST_REDIRECT = 300;
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** One row of the {@link TargetTable}: an engine or a plain service. */
@@ -21,6 +22,7 @@
     boolean saidLeaving;
     boolean heardLeaving;
     long pausedUntilMillis = Long.MIN_VALUE / 2;
+    OptionalDouble requestsPerSecond = OptionalDouble.empty();
     int consecutiveFailures;
     int suspects;
     long suspectLostAtMillis = Long.MIN_VALUE / 2;
@@ -76,6 +78,11 @@
         return heardLeaving;
     }
 
+    /** Returns the requests a second that the target takes from all routers together; empty if it named no limit. */
+    public OptionalDouble requestsPerSecond() {
+        return requestsPerSecond;
+    }
+
     /** Returns the requests of this router that the target works on. */
     public int inFlight() {
         return inFlight;
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -144,6 +145,17 @@
         target.pausedUntilMillis = Math.max(target.pausedUntilMillis, nowMillis + pauseMillis);
     }
 
+    /**
+     * Notes how many requests a second a target takes from all routers together, as its latest answer says.
+     *
+     * @return whether that is new
+     */
+    public boolean onRateLimitSaid(Target target, OptionalDouble requestsPerSecond) {
+        boolean changed = !target.requestsPerSecond.equals(requestsPerSecond);
+        target.requestsPerSecond = requestsPerSecond;
+        return changed;
+    }
+
     /** Forgets a target; requests in progress there go on. */
     public void deregister(String name) {
         Target target = rows.remove(name);
--- a/src/test/java/org/radishspan/platform/CodecsTest.java
+++ b/src/test/java/org/radishspan/platform/CodecsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -283,6 +284,27 @@
             assertEquals(head(503, "Retry-After", value).pauseMillis(), expected);
             assertEquals(head(200, "Retry-After", value).pauseMillis(), OptionalLong.empty(), "only with a refusal");
         }
+
+        @DataProvider
+        public Object[][] rateLimits() {
+            return new Object[][] {
+                {"1", OptionalDouble.of(1)},
+                {" 2.5 ", OptionalDouble.of(2.5)},
+                {"0", OptionalDouble.of(0)},
+                {"0.125", OptionalDouble.of(0.125)},
+                {"-1", OptionalDouble.empty()},
+                {"", OptionalDouble.empty()},
+                {"few", OptionalDouble.empty()},
+                {"NaN", OptionalDouble.empty()},
+                {"1/s", OptionalDouble.empty()}
+            };
+        }
+
+        @Test(dataProvider = "rateLimits")
+        public void tellHowManyRequestsTheyTake(String value, OptionalDouble expected) {
+            assertEquals(head(200, "Server-Limit", value).requestsPerSecond(), expected);
+            assertEquals(head(503, "server-limit", value).requestsPerSecond(), expected);
+        }
     }
 
     /** What routers say of themselves. */
