--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -311,6 +311,7 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMicros).thenComparingLong(Event::number));
     private final ObjectTable objects = new ObjectTable();
+    private final FleetTargets targets = new FleetTargets();
     private final Map<String, TreeMap<String, JsonNode>> kinds = new HashMap<>();
     private final List<Logged> changes = new ArrayList<>();
     private final List<Watcher> watchers = new ArrayList<>();
@@ -343,7 +344,7 @@
             weights[i] /= total;
         }
         configure(1);
-        writeTarget("ready");
+        writeTarget("target", "10.1.1.1:80", "ready");
         for (int i = 0; i < layout.routers(); i++) {
             Node node = new Node(i);
             nodes.add(node);
@@ -435,12 +436,14 @@
 
     private HttpTransport.Call toTarget(HttpTransport.Request request, HttpTransport.Listener listener) {
         long tokens = Long.parseLong(request.header(TOKENS_HEADER).orElse("0"));
+        String target = request.header(FleetTargets.nameHeader()).orElse("");
+        targets.onArrival(target, nowMillis());
         sends.merge(request.header("X-Test-Id").orElse(""), 1, Integer::sum);
         spentTokens.merge(request.header("X-Tenant").orElse(""), tokens, Long::sum);
         boolean[] cancelled = {false};
         at(nowMicros + WORK_MICROS, () -> {
             if (!cancelled[0]) {
-                listener.onHead(200, name -> name.equalsIgnoreCase("X-Server-Stamp") ? "signed" : null);
+                listener.onHead(200, name -> targets.answerHeader(target, name));
                 listener.onEnd();
             }
         });
@@ -618,16 +621,36 @@
 
     /** The target says in the store that it is about to stop. */
     void drainTarget() {
-        writeTarget("draining");
+        writeTarget("target", "10.1.1.1:80", "draining");
     }
 
-    private void writeTarget(String state) {
+    /** Adds targets beside the first one; returns their names. */
+    List<String> addTargets(int count) {
+        List<String> names = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            names.add("target-" + i);
+            writeTarget("target-" + i, "10.1.2." + i + ":80", "ready");
+        }
+        return names;
+    }
+
+    /** Returns the targets, their answers and arrivals. */
+    FleetTargets targets() {
+        return targets;
+    }
+
+    /** Returns the time of the deployment, which no VM's clock need show. */
+    long nowMillis() {
+        return nowMicros / MICROS;
+    }
+
+    private void writeTarget(String name, String address, String state) {
         write(
                 TargetCodec.KIND,
-                "target",
+                name,
                 Json.object()
                         .put("service", "s")
-                        .put("address", "10.1.1.1:80")
+                        .put("address", address)
                         .put("zone", "domain-0")
                         .put("slots", 64)
                         .put("state", state)
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalDouble;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -118,6 +119,58 @@
         }
     }
 
+    /** Targets that name the requests a second that they take from all routers together. */
+    public static class RateLimits {
+        /** The time after which the limit has to hold, the window in which it is looked at, and what a window may hold beyond it. */
+        private static final long SETTLE_MILLIS = 3_000;
+
+        private static final long WINDOW_MILLIS = 4_000;
+        private static final double WINDOW_FACTOR = 1.5;
+        private static final int WINDOW_SLACK = 5;
+
+        private static final long LIMITED_MILLIS = 16_000;
+
+        @DataProvider
+        public Object[][] fleets() {
+            return new Object[][] {{6, 13, 1.0}, {6, 13, 0.0}, {6, 13, 2.5}, {6, 3, 5.0}, {75, 74, 1.0}, {75, 74, 2.0}};
+        }
+
+        private static FrontFleet fleet(int routers, int targets) {
+            int callsPerSecond = routers > 6 ? 208 : 50;
+            FrontFleet fleet = new FrontFleet(
+                    new FrontFleet.Layout(routers, 3, 10, callsPerSecond, 10 * DAY_SECONDS, 125_000, 200), 1);
+            fleet.addTargets(targets - 1);
+            fleet.pass(SETTLE_DOWN_MILLIS);
+            fleet.serve(3_000);
+            return fleet;
+        }
+
+        /** Fails if the first target gets more than it takes; returns what became of the calls meanwhile. */
+        private static FrontFleet.Outcome serveWithin(FrontFleet fleet, double requestsPerSecond) {
+            fleet.targets().setRateLimit("target", OptionalDouble.of(requestsPerSecond));
+            fleet.serve(SETTLE_MILLIS);
+            long fromMillis = fleet.nowMillis();
+            FrontFleet.Outcome outcome = fleet.serve(LIMITED_MILLIS);
+            int most = fleet.targets().mostArrivals("target", fromMillis, fleet.nowMillis(), WINDOW_MILLIS);
+            double allowed = WINDOW_FACTOR * requestsPerSecond * WINDOW_MILLIS / 1_000 + WINDOW_SLACK;
+            assertTrue(most <= allowed, most + " requests in a window of " + WINDOW_MILLIS + " ms");
+            return outcome;
+        }
+
+        @Test(dataProvider = "fleets", groups = "known-red")
+        public void ofOneTargetHoldForAllRoutersTogether(int routers, int targets, double requestsPerSecond) {
+            FrontFleet.Outcome outcome = serveWithin(fleet(routers, targets), requestsPerSecond);
+            assertTrue(outcome.servedFraction() > 0.99, "the other targets take the rest: " + outcome);
+        }
+
+        @Test(dataProvider = "fleets", groups = "known-red")
+        public void holdWhereNoRouterHearsAnother(int routers, int targets, double requestsPerSecond) {
+            FrontFleet fleet = fleet(routers, targets);
+            fleet.loseMessages(1);
+            serveWithin(fleet, requestsPerSecond);
+        }
+    }
+
     /** Routers that start again. */
     public static class Restarts {
         /** Other operators saw it: after a restart a key that had been withdrawn, or a server that had left, was in use. */
