Divide what a target takes a second among the routers of the store

What was seen: a target in need that names a limit of requests a second in its answers got as many as before, 12 in 4 s where 11 are allowed; the target gets no relief, and callers there wait beside more work than it bears.

Class: a bound of a target that holds for the sum over the fleet. Obeying it at each router would not have been enough (six routers at 1 a second are 6), nor dividing it by the routers that are heard, as routers that do not hear each other would each take the whole of it.

Change: RateSenders gives each router its part from the list of routers in the store, the same at all of them without a message; limits below one request a second a router go to the first routers by rendezvous hashing, since idle routers could send one each at one moment. A token bucket that starts empty (RateLimit) paces the sends; a target without room is no candidate, and where no target of a service has room the caller is refused at once, not run, with the time of the next place. The limit belongs to the incarnation and outlasts a lapse of its entry; it ends with a signed answer to a later request that names none, or when nothing is heard of it for 30 s or longer, in a large fleet so much longer that the tries of all routers stay below a quarter of the limit. Peers are told of changes as a hint. What routers tell each other of targets moved from FrontRouter to TargetNotices.

--- a/src/main/java/org/radishspan/bench/RoutingRun.java
+++ b/src/main/java/org/radishspan/bench/RoutingRun.java
@@ -105,7 +105,7 @@
             throw new IllegalStateException("no engine named " + target.name());
         }
         long uncached = choice.uncachedTokens();
-        table.onDispatched(target);
+        table.onDispatched(target, sentAtMillis);
         table.addPendingPrompt(target, uncached);
         target.cachedParts().onRead(arrival.shape().sharedPartIds());
         announce(router, target.name(), uncached, arrival);
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -43,6 +43,7 @@
 import org.radishspan.proto.SettleTokens;
 import org.radishspan.proto.StoreNews;
 import org.radishspan.proto.TargetLeaving;
+import org.radishspan.proto.TargetRateLimit;
 import org.radishspan.proto.TokensReserved;
 import org.radishspan.proto.TokensSettled;
 import org.radishspan.relay.RelayMetrics;
@@ -50,8 +51,9 @@
 import org.radishspan.relay.RetryBudget;
 import org.radishspan.relay.TargetProtocol;
 import org.radishspan.request.StrikeTable;
-import org.radishspan.routing.Target;
+import org.radishspan.routing.RateSenders;
 import org.radishspan.routing.TargetTable;
+import org.radishspan.routing.TargetTable.ListedVm;
 import org.radishspan.store.CallBudget;
 import org.radishspan.store.KindWatch;
 import org.radishspan.store.ObjectKinds;
@@ -124,19 +126,14 @@
     /** A request may crash three targets; later repeats of it reach none. */
     private static final int CRASHES_BEFORE_QUARANTINE = 3;
 
-    /** Prompts that take an engine less than 10 ms to read are not worth a message. */
-    private static final long MIN_NOTICE_TOKENS = 300;
-
-    /** Fleets beyond this size do not announce prompts, as the messages grow with the square of the routers. */
-    private static final int MAX_NOTICE_PEERS = 16;
-
     private final Ports ports;
     private final VmSettings settings;
     private final RouterEntry self;
     private final long startMillis;
     private final ConfigurationInForce configuration;
     private final KindWatch<DeploymentConfiguration> configurationWatch;
-    private final TargetTable targets = new TargetTable();
+    private final RateSenders rateSenders;
+    private final TargetTable targets;
     private final TargetDirectory targetDirectory;
     private final KindWatch<TargetEntry> targetWatch;
     private final KindFeed feed;
@@ -151,6 +148,7 @@
     private final TokenClient tokenClient;
     private final TokenKeeper tokenKeeper;
     private final StrikeTable strikes;
+    private final TargetNotices notices;
     private final RelaySystem relay;
     private final LedgerReport ledgerReport;
     private final Map<String, Long> adoptedVersions = new HashMap<>();
@@ -171,6 +169,8 @@
         this.configuration = new ConfigurationInForce(ConfigurationCodec.NAME, ports.log(), this::onConfiguration);
         this.configurationWatch =
                 watch(ConfigurationCodec.KIND, ConfigurationCodec::decode, configuration, watchMillis);
+        this.rateSenders = new RateSenders(self.vm(), () -> routerWatch().known());
+        this.targets = new TargetTable(rateSenders);
         this.targetDirectory = new TargetDirectory(
                 targets, this::targetStoreFailedWithin, ports.log(), target -> relay().onTargetEnded(target));
         this.targetWatch = watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, watchMillis);
@@ -191,7 +191,8 @@
                 new PeerHandlers(),
                 configuration::version,
                 this::requestsInProgress);
-        this.routers = new RouterDirectory(self, ports.kinds(), ports.log(), peers::replace);
+        this.notices = new TargetNotices(targets, peers, ports.log());
+        this.routers = new RouterDirectory(self, ports.kinds(), ports.log(), this::onRouters);
         this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, routers, ROUTERS_WATCH_MILLIS);
         KindFeed.Pace feedPace = KindFeed.Pace.of(settings.bounds());
         this.feed = new KindFeed(peers, feedPace, ports.log());
@@ -224,7 +225,7 @@
                         configuration::current,
                         this::routerCount,
                         strikes,
-                        new PeersToldOfTargets(),
+                        notices,
                         ports.random(),
                         ports.clockMillis(),
                         ports.log(),
@@ -243,6 +244,15 @@
         return new KindWatch<>(kind, ports.kinds(), decoder, listener, pace, ports.random(), ports.log());
     }
 
+    private void onRouters(List<ListedVm> listed) {
+        peers.replace(listed);
+        rateSenders.replace(listed.stream().map(ListedVm::name).toList());
+    }
+
+    private KindWatch<RouterEntry> routerWatch() {
+        return routerWatch;
+    }
+
     private KindFeed feed() {
         return feed;
     }
@@ -261,31 +271,6 @@
         return Math.max(1, routers.count());
     }
 
-    /** Tells the other routers what they should know of targets. */
-    private final class PeersToldOfTargets implements RelaySystem.TargetNews {
-        @Override
-        public void promptSent(Target target, long uncachedTokens, List<String> sharedPartIds) {
-            boolean few = peers.table().rows().size() <= MAX_NOTICE_PEERS;
-            if (few && uncachedTokens >= MIN_NOTICE_TOKENS) {
-                peers.announcePrompt(PromptSent.newBuilder()
-                        .setTarget(target.name())
-                        .setUncachedTokens(uncachedTokens)
-                        .addAllSharedParts(sharedPartIds)
-                        .build());
-            }
-        }
-
-        @Override
-        public void leaving(Target target) {
-            if (!target.heardLeaving()) {
-                peers.announceLeaving(TargetLeaving.newBuilder()
-                        .setTarget(target.name())
-                        .setStartedAtUnixMillis(target.startedAtUnixMillis())
-                        .build());
-            }
-        }
-    }
-
     private void announceShortage(String budget, String shareId, long tokensWanted) {
         peers.announceShortage(keepers.of(budget), budget, shareId, tokensWanted);
     }
@@ -458,6 +443,7 @@
         }
         if (nowMillis >= fleetSeenAtMillis && routersKnown()) {
             fleetSeenAtMillis = nowMillis + FLEET_MILLIS;
+            notices.tick(nowMillis);
             divideRates();
             if (!draining) {
                 configuration.current().ifPresent(this::keepBudgets);
@@ -514,12 +500,7 @@
 
         @Override
         public void onPromptSent(PromptSent prompt) {
-            Target target = targets.get(prompt.getTarget());
-            if (target != null) {
-                targets.addForeignPrompt(
-                        target, prompt.getUncachedTokens(), ports.clockMillis().getAsLong());
-                target.cachedParts().onRead(prompt.getSharedPartsList());
-            }
+            notices.onPromptSent(prompt, ports.clockMillis().getAsLong());
         }
 
         @Override
@@ -529,7 +510,12 @@
 
         @Override
         public void onTargetLeaving(TargetLeaving leaving) {
-            targets.onLeavingHeard(leaving.getTarget(), leaving.getStartedAtUnixMillis());
+            notices.onLeaving(leaving);
+        }
+
+        @Override
+        public void onTargetRateLimit(String vm, TargetRateLimit limit) {
+            notices.onRateLimit(vm, limit, ports.clockMillis().getAsLong());
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/org/radishspan/front/TargetNotices.java
@@ -0,0 +1,107 @@
+package org.radishspan.front;
+
+import java.util.List;
+import java.util.OptionalDouble;
+
+import org.radishspan.log.EventLog;
+import org.radishspan.peer.PeerSystem;
+import org.radishspan.proto.PromptSent;
+import org.radishspan.proto.TargetLeaving;
+import org.radishspan.proto.TargetRateLimit;
+import org.radishspan.relay.RelaySystem;
+import org.radishspan.routing.Target;
+import org.radishspan.routing.TargetTable;
+
+/** What routers tell each other of targets; all of it is hints, so that a lost notice is made up for by the target's next answer. */
+final class TargetNotices implements RelaySystem.TargetNews {
+    /** Prompts that take an engine less than 10 ms to read are not worth a message. */
+    private static final long MIN_NOTICE_TOKENS = 300;
+
+    /** Fleets beyond this size do not announce prompts, as the messages grow with the square of the routers. */
+    private static final int MAX_NOTICE_PEERS = 16;
+
+    private final TargetTable targets;
+    private final PeerSystem peers;
+    private final EventLog log;
+
+    TargetNotices(TargetTable targets, PeerSystem peers, EventLog log) {
+        this.targets = targets;
+        this.peers = peers;
+        this.log = log;
+    }
+
+    @Override
+    public void promptSent(Target target, long uncachedTokens, List<String> sharedPartIds) {
+        boolean few = peers.table().rows().size() <= MAX_NOTICE_PEERS;
+        if (few && uncachedTokens >= MIN_NOTICE_TOKENS) {
+            peers.announcePrompt(PromptSent.newBuilder()
+                    .setTarget(target.name())
+                    .setUncachedTokens(uncachedTokens)
+                    .addAllSharedParts(sharedPartIds)
+                    .build());
+        }
+    }
+
+    void onPromptSent(PromptSent prompt, long nowMillis) {
+        Target target = targets.get(prompt.getTarget());
+        if (target != null) {
+            targets.addForeignPrompt(target, prompt.getUncachedTokens(), nowMillis);
+            target.cachedParts().onRead(prompt.getSharedPartsList());
+        }
+    }
+
+    @Override
+    public void leaving(Target target) {
+        if (!target.heardLeaving()) {
+            peers.announceLeaving(TargetLeaving.newBuilder()
+                    .setTarget(target.name())
+                    .setStartedAtUnixMillis(target.startedAtUnixMillis())
+                    .build());
+        }
+    }
+
+    void onLeaving(TargetLeaving leaving) {
+        targets.onLeavingHeard(leaving.getTarget(), leaving.getStartedAtUnixMillis());
+    }
+
+    @Override
+    public void rateLimited(Target target, OptionalDouble before) {
+        OptionalDouble now = target.requestsPerSecond();
+        TargetRateLimit.Builder notice = TargetRateLimit.newBuilder()
+                .setTarget(target.name())
+                .setStartedAtUnixMillis(target.startedAtUnixMillis());
+        now.ifPresent(notice::setRequestsPerSecond);
+        peers.announceRateLimit(notice.build());
+        logRateLimit(target.name(), before, now, "answer");
+    }
+
+    void onRateLimit(String vm, TargetRateLimit limit, long nowMillis) {
+        Target target = targets.get(limit.getTarget());
+        OptionalDouble before = target == null ? OptionalDouble.empty() : target.requestsPerSecond();
+        OptionalDouble now =
+                limit.hasRequestsPerSecond() ? OptionalDouble.of(limit.getRequestsPerSecond()) : OptionalDouble.empty();
+        if (targets.onRateLimitHeard(limit.getTarget(), limit.getStartedAtUnixMillis(), now, nowMillis)) {
+            logRateLimit(limit.getTarget(), before, now, vm);
+        }
+    }
+
+    /** Forgets limits of which nothing was heard for long. */
+    void tick(long nowMillis) {
+        for (Target target : targets.forgetLapsedRateLimits(nowMillis)) {
+            logRateLimit(target.name(), OptionalDouble.empty(), OptionalDouble.empty(), "nothing heard of it");
+        }
+    }
+
+    private void logRateLimit(String target, OptionalDouble before, OptionalDouble now, String source) {
+        log.belief("target_rate_limit")
+                .with("target", target)
+                .with("requests_per_s", text(now))
+                .with("requests_per_s_before", text(before))
+                .with("source", source)
+                .write();
+    }
+
+    private static String text(OptionalDouble requestsPerSecond) {
+        return requestsPerSecond.isEmpty() ? "" : Double.toString(requestsPerSecond.getAsDouble());
+    }
+}
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -27,6 +27,7 @@
 import org.radishspan.proto.StoreNews;
 import org.radishspan.proto.Strike;
 import org.radishspan.proto.TargetLeaving;
+import org.radishspan.proto.TargetRateLimit;
 import org.radishspan.proto.TokensReserved;
 import org.radishspan.proto.TokensSettled;
 import org.radishspan.routing.TargetTable.ListedVm;
@@ -72,6 +73,9 @@
         /** Hears that a target said to a peer that it is leaving. */
         default void onTargetLeaving(TargetLeaving leaving) {}
 
+        /** Hears how many requests a second a target takes from all routers together. */
+        default void onTargetRateLimit(String vm, TargetRateLimit limit) {}
+
         /** Reserves tokens of a share for a call at a peer. */
         default void onReserveTokens(String vm, ReserveTokens call) {}
 
@@ -223,6 +227,7 @@
             case PROMPT_SENT -> handlers.onPromptSent(message.getPromptSent());
             case STORE_NEWS -> handlers.onStoreNews(vm, message.getStoreNews());
             case TARGET_LEAVING -> handlers.onTargetLeaving(message.getTargetLeaving());
+            case TARGET_RATE_LIMIT -> handlers.onTargetRateLimit(vm, message.getTargetRateLimit());
             case RESERVE_TOKENS -> handlers.onReserveTokens(vm, message.getReserveTokens());
             case TOKENS_RESERVED -> handlers.onTokensReserved(message.getTokensReserved());
             case SETTLE_TOKENS -> handlers.onSettleTokens(vm, message.getSettleTokens());
@@ -346,6 +351,11 @@
         sendToAll(PeerMessage.newBuilder().setTargetLeaving(leaving).build());
     }
 
+    /** Tells every peer how many requests a second a target takes from all routers together. */
+    public void announceRateLimit(TargetRateLimit limit) {
+        sendToAll(PeerMessage.newBuilder().setTargetRateLimit(limit).build());
+    }
+
     /** Tells every peer that a share of a budget is short of tokens. */
     public void announceShortage(String budget, String shareId, long tokens) {
         sendToAll(shortage(budget, shareId, tokens));
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -73,6 +73,9 @@
 
         /** A target said that it is leaving. */
         default void leaving(Target target) {}
+
+        /** A target named another limit of requests a second than before, or none any more. */
+        default void rateLimited(Target target, OptionalDouble before) {}
     }
 
     /** The longest deadline that is taken from a caller who names none. */
@@ -218,7 +221,7 @@
                 row, choice, ports.targets().await(choice, nowMillis), ports.protocol(), outcomes, ports.clockMillis());
         row.attempt = attempt;
         attempt.pendingPromptTokens = choice.uncachedTokens();
-        ports.targets().onDispatched(target);
+        ports.targets().onDispatched(target, nowMillis);
         ports.targets().addPendingPrompt(target, attempt.pendingPromptTokens);
         if (row.promptShape != null) {
             target.cachedParts().onRead(row.promptShape.partIds());
@@ -409,6 +412,7 @@
         public void onHead(Attempt attempt, TargetProtocol.AnswerHead head) {
             head.load().ifPresent(load -> ports.targets().onLoad(attempt.target, load.running(), load.waiting()));
             noteWishes(attempt.target, head);
+            noteRateLimit(attempt, head);
             if (!head.stream()) {
                 ports.metrics().onFirstByte(now() - attempt.row.acceptedAtMillis);
             }
@@ -435,26 +439,25 @@
             if (head.leaving() || head.pauseMillis().isPresent()) {
                 moveUnsent(target);
             }
-            noteRateLimit(target, head.requestsPerSecond());
         }
 
-        private void noteRateLimit(Target target, OptionalDouble requestsPerSecond) {
+        private void noteRateLimit(Attempt attempt, TargetProtocol.AnswerHead head) {
+            OptionalDouble named = head.requestsPerSecond();
+            // What another target, or nobody, has signed says nothing of a limit that this one had named.
+            boolean itsOwn = head.signed() && !head.otherTarget();
+            if (named.isEmpty() && !itsOwn) {
+                return;
+            }
+            Target target = attempt.target;
             OptionalDouble before = target.requestsPerSecond();
-            if (!ports.targets().onRateLimitSaid(target, requestsPerSecond)) {
+            if (!ports.targets().onRateLimitSaid(target, named, attempt.sentAtMillis, now())) {
                 return;
             }
             ports.metrics().onRateLimitChanged();
-            ports.log()
-                    .belief("target_rate_limit")
-                    .with("target", target.name())
-                    .with("requests_per_s", rateText(requestsPerSecond))
-                    .with("requests_per_s_before", rateText(before))
-                    .with("source", "answer")
-                    .write();
-        }
-
-        private static String rateText(OptionalDouble requestsPerSecond) {
-            return requestsPerSecond.isEmpty() ? "" : Double.toString(requestsPerSecond.getAsDouble());
+            ports.targetNews().rateLimited(target, before);
+            if (before.isEmpty()) {
+                moveUnsent(target);
+            }
         }
 
         private void moveUnsent(Target target) {
--- a/src/main/java/org/radishspan/relay/TargetPicker.java
+++ b/src/main/java/org/radishspan/relay/TargetPicker.java
@@ -55,10 +55,12 @@
         if (row.targetsThatMayHaveRun > 0) {
             return Failure.unknown(ErrorKind.TARGET_FAILED, "the target broke off, and " + reason);
         }
-        OptionalLong pauseMillis = targets.pauseMillisLeft(row.service, nowMillis);
-        if (pauseMillis.isPresent()) {
-            return Failure.notRun(ErrorKind.OVERLOADED, "every target of the service asked for a pause")
-                    .retryAfter(pauseMillis.getAsLong());
+        OptionalLong waitMillis = targets.waitMillis(row.service, nowMillis);
+        if (waitMillis.isPresent()) {
+            return Failure.notRun(
+                            ErrorKind.OVERLOADED,
+                            "every target of the service asked for a pause or for fewer requests a second")
+                    .retryAfter(waitMillis.getAsLong());
         }
         boolean refused = row.sends > 0;
         return Failure.notRun(refused ? ErrorKind.OVERLOADED : ErrorKind.NO_TARGET, reason)
--- a/src/main/java/org/radishspan/request/DispatchSystem.java
+++ b/src/main/java/org/radishspan/request/DispatchSystem.java
@@ -114,7 +114,7 @@
     private void send(Request request, Target target, String method, String path, byte[] body) {
         request.phase = Request.Phase.RUNNING;
         request.target = target;
-        targets.onDispatched(target);
+        targets.onDispatched(target, nowMillis);
         if (request.suspect) {
             targets.addSuspect(target);
         }
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -5,6 +5,8 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 /** One row of the {@link TargetTable}: an engine or a plain service. */
 public final class Target {
     final String name;
@@ -22,7 +24,10 @@
     boolean saidLeaving;
     boolean heardLeaving;
     long pausedUntilMillis = Long.MIN_VALUE / 2;
-    OptionalDouble requestsPerSecond = OptionalDouble.empty();
+
+    @Nullable
+    RateLimit rateLimit;
+
     int consecutiveFailures;
     int suspects;
     long suspectLostAtMillis = Long.MIN_VALUE / 2;
@@ -63,6 +68,18 @@
         return port;
     }
 
+    /** Returns whether the target has asked for no pause, and its limit leaves room for a request of this router. */
+    boolean takesWork(long nowMillis) {
+        RateLimit limit = rateLimit;
+        return pausedUntilMillis <= nowMillis && (limit == null || limit.allows(nowMillis));
+    }
+
+    /** Returns how long it takes until the target's pause is over and its limit leaves room for a request. */
+    long waitMillis(long nowMillis) {
+        RateLimit limit = rateLimit;
+        return Math.max(pausedUntilMillis - nowMillis, limit == null ? 0 : limit.waitMillis(nowMillis));
+    }
+
     /** Returns the failure domain. */
     public String failureDomain() {
         return failureDomain;
@@ -80,7 +97,8 @@
 
     /** Returns the requests a second that the target takes from all routers together; empty if it named no limit. */
     public OptionalDouble requestsPerSecond() {
-        return requestsPerSecond;
+        RateLimit limit = rateLimit;
+        return limit == null ? OptionalDouble.empty() : OptionalDouble.of(limit.requestsPerSecond());
     }
 
     /** Returns the requests of this router that the target works on. */
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -50,8 +50,19 @@
 
     private final Object2ObjectHashMap<String, Target> rows = new Object2ObjectHashMap<>();
     private final LeavingTargets leavingTargets = new LeavingTargets();
+    private final RateLimits rateLimits;
     private final Map<String, WorkSpeed> serviceSpeeds = new HashMap<>();
 
+    /** Creates a table for a router that is the only one to send. */
+    public TargetTable() {
+        this(RateSenders.alone());
+    }
+
+    /** Creates a table for one of several routers. */
+    public TargetTable(RateSenders senders) {
+        this.rateLimits = new RateLimits(senders);
+    }
+
     /** Returns every target. */
     public Collection<Target> rows() {
         return rows.values();
@@ -115,6 +126,7 @@
             known.startedAtUnixMillis = entry.startedAtUnixMillis();
             known.saidLeaving = leavingTargets.hasSaid(entry.id(), entry.startedAtUnixMillis());
             known.heardLeaving = leavingTargets.isHeardOf(entry.id(), entry.startedAtUnixMillis());
+            known.rateLimit = rateLimits.get(entry.id(), entry.startedAtUnixMillis());
             rows.put(entry.id(), known);
         }
         known.leaving = entry.draining();
@@ -146,16 +158,52 @@
     }
 
     /**
-     * Notes how many requests a second a target takes from all routers together, as its latest answer says.
+     * Notes how many requests a second a target takes from all routers together, as an answer says; empty if it names no limit.
      *
+     * @param askedAtMillis when the request was sent; an answer to an earlier one does not end a limit
      * @return whether that is new
      */
-    public boolean onRateLimitSaid(Target target, OptionalDouble requestsPerSecond) {
-        boolean changed = !target.requestsPerSecond.equals(requestsPerSecond);
-        target.requestsPerSecond = requestsPerSecond;
+    public boolean onRateLimitSaid(
+            Target target, OptionalDouble requestsPerSecond, long askedAtMillis, long nowMillis) {
+        RateLimit known = target.rateLimit;
+        if (requestsPerSecond.isEmpty() && known != null && askedAtMillis < known.namedAtMillis()) {
+            return false;
+        }
+        boolean changed = rateLimits.onNamed(target.name, target.startedAtUnixMillis, requestsPerSecond, nowMillis);
+        target.rateLimit = rateLimits.get(target.name, target.startedAtUnixMillis);
         return changed;
     }
 
+    /**
+     * Notes what another router was told of a target's limit.
+     *
+     * @return whether that is new
+     */
+    public boolean onRateLimitHeard(
+            String name, long startedAtUnixMillis, OptionalDouble requestsPerSecond, long nowMillis) {
+        boolean changed = rateLimits.onNamed(name, startedAtUnixMillis, requestsPerSecond, nowMillis);
+        Target target = rows.get(name);
+        if (target != null && target.startedAtUnixMillis == startedAtUnixMillis) {
+            target.rateLimit = rateLimits.get(name, startedAtUnixMillis);
+        }
+        return changed;
+    }
+
+    /** Forgets limits of which nothing was heard for long; returns the targets that are to be tried again. */
+    public List<Target> forgetLapsedRateLimits(long nowMillis) {
+        if (!rateLimits.forgetLapsed(nowMillis)) {
+            return List.of();
+        }
+        List<Target> freed = new ArrayList<>();
+        for (Target target : rows.values()) {
+            if (target.rateLimit != null && rateLimits.get(target.name, target.startedAtUnixMillis) == null) {
+                target.rateLimit = null;
+                freed.add(target);
+            }
+        }
+        return freed;
+    }
+
     /** Forgets a target; requests in progress there go on. */
     public void deregister(String name) {
         Target target = rows.remove(name);
@@ -217,28 +265,28 @@
     private List<Target> select(String serves, Set<String> excluded, long nowMillis, Condition condition) {
         List<Target> result = new ArrayList<>();
         for (Target target : rows.values()) {
-            boolean allowed = !target.leaving() && target.pausedUntilMillis <= nowMillis;
-            if (allowed
-                    && target.serves.contains(serves)
-                    && !excluded.contains(target.name)
-                    && condition.holds(target, nowMillis)) {
+            boolean wanted = !target.leaving() && target.serves.contains(serves) && !excluded.contains(target.name);
+            if (wanted && target.takesWork(nowMillis) && condition.holds(target, nowMillis)) {
                 result.add(target);
             }
         }
         return result;
     }
 
-    /** Returns when the first target of a service takes work again; empty unless all that stay have asked for a pause. */
-    public OptionalLong pauseMillisLeft(String serves, long nowMillis) {
+    /**
+     * Returns when the first target of a service takes work again; empty unless all that stay have asked for a pause or have had
+     * what they take in a second.
+     */
+    public OptionalLong waitMillis(String serves, long nowMillis) {
         long leastMillis = Long.MAX_VALUE;
         for (Target target : rows.values()) {
             if (target.leaving() || !target.serves.contains(serves)) {
                 continue;
             }
-            if (target.pausedUntilMillis <= nowMillis) {
+            if (target.takesWork(nowMillis)) {
                 return OptionalLong.empty();
             }
-            leastMillis = Math.min(leastMillis, target.pausedUntilMillis - nowMillis);
+            leastMillis = Math.min(leastMillis, target.waitMillis(nowMillis));
         }
         return leastMillis == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(leastMillis);
     }
@@ -292,7 +340,10 @@
     }
 
     /** Counts a dispatch. */
-    public void onDispatched(Target target) {
+    public void onDispatched(Target target, long nowMillis) {
+        if (target.rateLimit != null) {
+            target.rateLimit.onSent(nowMillis);
+        }
         target.inFlight++;
         target.dispatchedSinceReport++;
     }
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -634,6 +634,11 @@
         return names;
     }
 
+    /** Returns the failures of the calls that were not served. */
+    List<Failure> refusals() {
+        return refusals;
+    }
+
     /** Returns the targets, their answers and arrivals. */
     FleetTargets targets() {
         return targets;
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -6,6 +6,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.radishspan.error.Failure;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -157,18 +158,72 @@
             return outcome;
         }
 
-        @Test(dataProvider = "fleets", groups = "known-red")
+        @Test(dataProvider = "fleets")
         public void ofOneTargetHoldForAllRoutersTogether(int routers, int targets, double requestsPerSecond) {
             FrontFleet.Outcome outcome = serveWithin(fleet(routers, targets), requestsPerSecond);
             assertTrue(outcome.servedFraction() > 0.99, "the other targets take the rest: " + outcome);
         }
 
-        @Test(dataProvider = "fleets", groups = "known-red")
+        @Test(dataProvider = "fleets")
         public void holdWhereNoRouterHearsAnother(int routers, int targets, double requestsPerSecond) {
             FrontFleet fleet = fleet(routers, targets);
             fleet.loseMessages(1);
             serveWithin(fleet, requestsPerSecond);
         }
+
+        @Test
+        public void holdWhileRoutersStartAgainOneAfterTheOther() {
+            FrontFleet fleet = fleet(6, 13);
+            fleet.targets().setRateLimit("target", OptionalDouble.of(2));
+            fleet.serve(SETTLE_MILLIS);
+            for (int router = 0; router < 6; router++) {
+                fleet.kill(router, 300);
+                fleet.serve(1_000);
+            }
+            serveWithin(fleet, 2);
+        }
+
+        @Test
+        public void holdWhereRoutersAreCutFromTheStore() {
+            FrontFleet fleet = fleet(6, 13);
+            fleet.cutStore(6);
+            serveWithin(fleet, 1);
+        }
+
+        /** A target that takes nothing is asked by nobody for a while, so that nobody hears of the end of its limit. */
+        @DataProvider
+        public Object[][] fleetsAndLimitsAboveZero() {
+            return Arrays.stream(fleets())
+                    .filter(values -> !values[2].equals(0.0))
+                    .toArray(Object[][]::new);
+        }
+
+        @Test(dataProvider = "fleetsAndLimitsAboveZero")
+        public void endSoonAfterTheTargetNamesNone(int routers, int targets, double requestsPerSecond) {
+            FrontFleet fleet = fleet(routers, targets);
+            int usual = fleet.targets().arrivals("target", fleet.nowMillis() - 3_000, fleet.nowMillis());
+            serveWithin(fleet, requestsPerSecond);
+            fleet.targets().setRateLimit("target", OptionalDouble.empty());
+            fleet.serve(SETTLE_MILLIS);
+            fleet.serve(6_000);
+            int later = fleet.targets().arrivals("target", fleet.nowMillis() - 6_000, fleet.nowMillis());
+            assertTrue(later >= usual, later + " requests in 6 s, " + usual + " in 3 s before the limit");
+        }
+
+        @Test
+        public void ofAllTargetsAreUsedAndTheRestIsToldWhenToComeBack() {
+            FrontFleet fleet = fleet(6, 3);
+            List.of("target", "target-1", "target-2")
+                    .forEach(target -> fleet.targets().setRateLimit(target, OptionalDouble.of(6)));
+            fleet.serve(SETTLE_MILLIS);
+            FrontFleet.Outcome outcome = fleet.serve(10_000);
+            assertTrue(outcome.served() >= 0.9 * 18 * 10, outcome.toString());
+            assertTrue(outcome.refused() > 0, outcome.toString());
+            assertTrue(
+                    fleet.refusals().stream()
+                            .allMatch(refusal -> refusal.ran() == Failure.Ran.NO && refusal.retryAfterMillis() > 0),
+                    "refusals say that the request has not run, and when to come back");
+        }
     }
 
     /** Routers that start again. */
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -1,11 +1,14 @@
 package org.radishspan.relay;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.radishspan.deployment.Address;
 import org.radishspan.deployment.TargetEntry;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
+import org.radishspan.routing.Target;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -515,9 +518,41 @@
             assertEquals(harness.sent.size(), sends, "nobody is asked");
         }
 
+        @Test
+        public void thatTakeNoMoreRequestsASecondMeanARefusalWithTheTimeOfTheNext() {
+            RelayHarness harness = new RelayHarness(1);
+            harness.call("read");
+            harness.last().answer(200, "done", STAMP, "stamp", "Server-Limit", "2");
+            Failure refused = harness.call("read").failure();
+            assertEquals(refused.ran(), Failure.Ran.NO);
+            assertEquals(refused.retryAfterMillis(), 500);
+            harness.pass(500);
+            RelayHarness.Caller served = harness.call("read");
+            harness.last().answer(200, "done", STAMP, "stamp", "Server-Limit", "2");
+            assertEquals(served.status, 200);
+        }
+
+        @Test
+        public void thatNamedALimitKeepItOverAnAnswerThatNobodySigned() {
+            RelayHarness harness = new RelayHarness(2);
+            harness.call("read");
+            String limited = harness.last().target();
+            harness.last().answer(200, "done", STAMP, "stamp", "Server-Limit", "0.5");
+            harness.pass(2_000);
+            harness.endTarget(limited.equals("t0") ? "t1" : "t0");
+            harness.call("write");
+            assertEquals(harness.last().target(), limited);
+            harness.last().answer(500, "not signed");
+            assertEquals(
+                    harness.targets.rows().stream()
+                            .map(Target::requestsPerSecond)
+                            .toList(),
+                    List.of(OptionalDouble.of(0.5)));
+        }
+
         @DataProvider
         public Object[][] wishes() {
-            return new Object[][] {{"Server-Leaving", "1"}, {"Retry-After", "2"}};
+            return new Object[][] {{"Server-Leaving", "1"}, {"Retry-After", "2"}, {"Server-Limit", "1"}};
         }
 
         @Test(dataProvider = "wishes")
--- /dev/null
+++ b/src/test/java/org/radishspan/routing/RateLimitTest.java
@@ -0,0 +1,189 @@
+package org.radishspan.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.radishspan.deployment.Address;
+import org.radishspan.deployment.TargetEntry;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Targets that name the requests a second that they take from all routers together. */
+public class RateLimitTest {
+    private static final long BORN = 1_700_000_000_000L;
+    private static final OptionalDouble NONE = OptionalDouble.empty();
+
+    private static OptionalDouble perSecond(double requests) {
+        return OptionalDouble.of(requests);
+    }
+
+    private static TargetEntry entry(String name, long startedAtUnixMillis) {
+        return new TargetEntry(name, "s", new Address("10.0.0.1", 80), "a", 6, false, startedAtUnixMillis);
+    }
+
+    private static TargetTable table(RateSenders senders, String... names) {
+        TargetTable table = new TargetTable(senders);
+        for (String name : names) {
+            table.register(entry(name, BORN));
+        }
+        return table;
+    }
+
+    private static Target target(TargetTable table, String name) {
+        return Objects.requireNonNull(table.get(name), name);
+    }
+
+    private static boolean usable(TargetTable table, long nowMillis) {
+        return !table.candidates("s", Set.of(), nowMillis).isEmpty();
+    }
+
+    /** One table a router, all of which know the routers of the store and none of which hears another. */
+    private static List<TargetTable> fleet(int routers) {
+        List<String> vms = IntStream.range(0, routers).mapToObj(i -> "vm-" + i).toList();
+        List<TargetTable> tables = new ArrayList<>();
+        for (String vm : vms) {
+            RateSenders senders = new RateSenders(vm, () -> true);
+            senders.replace(vms);
+            tables.add(table(senders, "t"));
+        }
+        return tables;
+    }
+
+    /** What all routers together send. */
+    public static class Fleets {
+        private static final long WINDOW_MILLIS = 4_000;
+        private static final double WINDOW_FACTOR = 1.5;
+        private static final int WINDOW_SLACK = 5;
+        private static final int SPANS = 4;
+
+        @DataProvider
+        public Object[][] sizes() {
+            List<Object[]> sizes = new ArrayList<>();
+            for (int routers : new int[] {1, 2, 6, 7, 75, 95, 460}) {
+                for (double limit : new double[] {0, 0.3, 1, 1.7, 5, 33, 200, 1_000}) {
+                    sizes.add(new Object[] {routers, limit});
+                }
+            }
+            return sizes.toArray(new Object[0][]);
+        }
+
+        /** The worst case: all have been idle for long, and all have more to send than they may. */
+        @Test(dataProvider = "sizes")
+        public void neverExceedTheLimitWhereAllBecomeBusyAtOnce(int routers, double requestsPerSecond) {
+            List<TargetTable> fleet = fleet(routers);
+            fleet.forEach(table -> table.onRateLimitSaid(target(table, "t"), perSecond(requestsPerSecond), 0, 0));
+            long idleMillis = 20_000;
+            int inWindow = 0;
+            int sent = 0;
+            for (long nowMillis = idleMillis; nowMillis < idleMillis + SPANS * WINDOW_MILLIS; nowMillis += 10) {
+                for (TargetTable table : fleet) {
+                    while (usable(table, nowMillis)) {
+                        table.onDispatched(target(table, "t"), nowMillis);
+                        sent++;
+                        inWindow += nowMillis < idleMillis + WINDOW_MILLIS ? 1 : 0;
+                    }
+                }
+            }
+            double inLimit = requestsPerSecond * WINDOW_MILLIS / 1_000;
+            assertTrue(inWindow <= WINDOW_FACTOR * inLimit + WINDOW_SLACK, inWindow + " in the first window");
+            assertTrue(sent >= Math.floor(SPANS * inLimit) - 1, sent + " of what it takes");
+        }
+
+        @Test(dataProvider = "sizes")
+        public void tryATargetOfWhichNothingIsHeardSeldom(int routers, double requestsPerSecond) {
+            TargetTable table = fleet(routers).get(0);
+            table.onRateLimitSaid(target(table, "t"), perSecond(requestsPerSecond), 0, 0);
+            long triedMillis = 0;
+            while (table.forgetLapsedRateLimits(triedMillis).isEmpty()) {
+                triedMillis += 1_000;
+                assertTrue(triedMillis < 3_600_000, "it is tried some time");
+            }
+            double triesPerSecond = routers * 1_000.0 / triedMillis;
+            assertTrue(triesPerSecond <= Math.max(0.5, requestsPerSecond / 4), triesPerSecond + " tries a second");
+            assertEquals(target(table, "t").requestsPerSecond(), NONE);
+        }
+
+        @Test
+        public void sendNothingBeforeTheyKnowEachOther() {
+            TargetTable table = table(new RateSenders("vm-0", () -> false), "t");
+            table.onRateLimitSaid(target(table, "t"), perSecond(100), 0, 0);
+            assertFalse(usable(table, 10_000));
+        }
+
+        @Test
+        public void divideTheLimitAnewWhenOneOfThemGoes() {
+            RateSenders senders = new RateSenders("vm-0", () -> true);
+            senders.replace(List.of("vm-0", "vm-1"));
+            TargetTable table = table(senders, "t");
+            table.onRateLimitSaid(target(table, "t"), perSecond(4), 0, 0);
+            assertEquals(table.waitMillis("s", 0), OptionalLong.of(500));
+            senders.replace(List.of("vm-0"));
+            assertEquals(table.waitMillis("s", 0), OptionalLong.of(250));
+        }
+    }
+
+    /** What a router believes of one target. */
+    public static class Beliefs {
+        @Test
+        public void holdUntilAnAnswerNamesNoLimit() {
+            TargetTable table = table(RateSenders.alone(), "t");
+            assertTrue(table.onRateLimitSaid(target(table, "t"), perSecond(1), 0, 100));
+            assertFalse(table.onRateLimitSaid(target(table, "t"), perSecond(1), 50, 200), "known already");
+            assertFalse(usable(table, 200));
+            assertTrue(table.onRateLimitSaid(target(table, "t"), NONE, 300, 400));
+            assertTrue(usable(table, 400));
+        }
+
+        @Test
+        public void areNotEndedByTheLateAnswerToAnEarlierRequest() {
+            TargetTable table = table(RateSenders.alone(), "t");
+            table.onRateLimitSaid(target(table, "t"), perSecond(1), 0, 100);
+            assertFalse(table.onRateLimitSaid(target(table, "t"), NONE, 99, 200));
+            assertFalse(usable(table, 200));
+        }
+
+        @Test
+        public void outlastALapseOfTheTargetsEntryButNotItsIncarnation() {
+            TargetTable table = table(RateSenders.alone(), "t");
+            table.onRateLimitSaid(target(table, "t"), perSecond(1), 0, 0);
+            table.deregister("t");
+            table.register(entry("t", BORN));
+            assertFalse(usable(table, 100));
+            table.register(entry("t", BORN + 1));
+            assertTrue(usable(table, 100));
+        }
+
+        @Test
+        public void comeFromOtherRoutersAsWell() {
+            TargetTable table = table(RateSenders.alone(), "t");
+            assertTrue(table.onRateLimitHeard("t", BORN, perSecond(2), 0));
+            assertFalse(usable(table, 0));
+            assertTrue(table.onRateLimitHeard("t", BORN, NONE, 100));
+            assertTrue(usable(table, 100));
+        }
+
+        @Test
+        public void aboutAnotherIncarnationCountNothing() {
+            TargetTable table = table(RateSenders.alone(), "t");
+            table.onRateLimitHeard("t", BORN - 1, perSecond(2), 0);
+            assertTrue(usable(table, 0));
+        }
+
+        @Test
+        public void ofAHeightThatChangesTakeEffectAtOnce() {
+            TargetTable table = table(RateSenders.alone(), "t");
+            table.onRateLimitSaid(target(table, "t"), perSecond(0.1), 0, 0);
+            assertTrue(table.onRateLimitSaid(target(table, "t"), perSecond(10), 0, 0));
+            assertEquals(table.waitMillis("s", 0), OptionalLong.of(100));
+        }
+    }
+}
--- a/src/test/java/org/radishspan/routing/TargetTableTest.java
+++ b/src/test/java/org/radishspan/routing/TargetTableTest.java
@@ -126,11 +126,11 @@
         public void tellWhenTheFirstOfThemIsBack() {
             TargetTable table = table("t", "u", "v");
             table.onPauseAsked(target(table, "t"), 2_500, 1_000);
-            assertEquals(table.pauseMillisLeft("s", 1_000), OptionalLong.empty(), "others take work");
+            assertEquals(table.waitMillis("s", 1_000), OptionalLong.empty(), "others take work");
             table.onPauseAsked(target(table, "u"), 800, 1_000);
             table.onLeavingSaid(target(table, "v"));
-            assertEquals(table.pauseMillisLeft("s", 1_300), OptionalLong.of(500));
-            assertEquals(table.pauseMillisLeft("s", 1_800), OptionalLong.empty());
+            assertEquals(table.waitMillis("s", 1_300), OptionalLong.of(500));
+            assertEquals(table.waitMillis("s", 1_800), OptionalLong.empty());
         }
     }
 }
