Keep a target's pause over a lapse of its entry

What was seen: a target that answers 503 with Retry-After gets requests again before the time is over if its entry in the store lapses and comes back meanwhile; its callers are refused once more.

Evidence: TargetTableTest.Paused.keepItWhenTheirEntryLapsesAndComesBack failed on the code before (run: 11 tests, 1 failure, the target was a candidate again at once) and passes now.

Change: TargetWishes has one row an incarnation with all it has asked for (leaving, pause, limit), shared with the target's row and found again when the entry is back; it replaces LeavingTargets and RateLimits. 201 tests of the classes touched pass.

--- a/src/main/java/org/radishspan/front/TargetNotices.java
+++ b/src/main/java/org/radishspan/front/TargetNotices.java
@@ -87,8 +87,8 @@
 
     /** Forgets limits of which nothing was heard for long. */
     void tick(long nowMillis) {
-        for (Target target : targets.forgetLapsedRateLimits(nowMillis)) {
-            logRateLimit(target.name(), OptionalDouble.empty(), OptionalDouble.empty(), "nothing heard of it");
+        for (String target : targets.forgetLapsedRateLimits(nowMillis)) {
+            logRateLimit(target, OptionalDouble.empty(), OptionalDouble.empty(), "nothing heard of it");
         }
     }
 
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -5,8 +5,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 
-import org.jspecify.annotations.Nullable;
-
 /** One row of the {@link TargetTable}: an engine or a plain service. */
 public final class Target {
     final String name;
@@ -21,13 +19,7 @@
     long reportedAtMillis;
     long nextProbeAtMillis;
     long closedUntilMillis;
-    boolean saidLeaving;
-    boolean heardLeaving;
-    long pausedUntilMillis = Long.MIN_VALUE / 2;
-
-    @Nullable
-    RateLimit rateLimit;
-
+    TargetWishes.Wishes wishes = new TargetWishes.Wishes();
     int consecutiveFailures;
     int suspects;
     long suspectLostAtMillis = Long.MIN_VALUE / 2;
@@ -70,14 +62,14 @@
 
     /** Returns whether the target has asked for no pause, and its limit leaves room for a request of this router. */
     boolean takesWork(long nowMillis) {
-        RateLimit limit = rateLimit;
-        return pausedUntilMillis <= nowMillis && (limit == null || limit.allows(nowMillis));
+        RateLimit limit = wishes.rateLimit;
+        return wishes.pausedUntilMillis <= nowMillis && (limit == null || limit.allows(nowMillis));
     }
 
     /** Returns how long it takes until the target's pause is over and its limit leaves room for a request. */
     long waitMillis(long nowMillis) {
-        RateLimit limit = rateLimit;
-        return Math.max(pausedUntilMillis - nowMillis, limit == null ? 0 : limit.waitMillis(nowMillis));
+        RateLimit limit = wishes.rateLimit;
+        return Math.max(wishes.pausedUntilMillis - nowMillis, limit == null ? 0 : limit.waitMillis(nowMillis));
     }
 
     /** Returns the failure domain. */
@@ -87,17 +79,17 @@
 
     /** Returns whether the target takes no new work. */
     public boolean leaving() {
-        return leaving || saidLeaving;
+        return leaving || wishes.saidLeaving;
     }
 
     /** Returns whether another router has told that the target is leaving. */
     public boolean heardLeaving() {
-        return heardLeaving;
+        return wishes.heardLeaving;
     }
 
     /** Returns the requests a second that the target takes from all routers together; empty if it named no limit. */
     public OptionalDouble requestsPerSecond() {
-        RateLimit limit = rateLimit;
+        RateLimit limit = wishes.rateLimit;
         return limit == null ? OptionalDouble.empty() : OptionalDouble.of(limit.requestsPerSecond());
     }
 
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -49,8 +49,8 @@
     private static final long CLOSED_MILLIS = 2_000;
 
     private final Object2ObjectHashMap<String, Target> rows = new Object2ObjectHashMap<>();
-    private final LeavingTargets leavingTargets = new LeavingTargets();
-    private final RateLimits rateLimits;
+    private final TargetWishes wishes = new TargetWishes();
+    private final RateSenders senders;
     private final Map<String, WorkSpeed> serviceSpeeds = new HashMap<>();
 
     /** Creates a table for a router that is the only one to send. */
@@ -60,7 +60,7 @@
 
     /** Creates a table for one of several routers. */
     public TargetTable(RateSenders senders) {
-        this.rateLimits = new RateLimits(senders);
+        this.senders = senders;
     }
 
     /** Returns every target. */
@@ -124,9 +124,7 @@
                     speedOf(Set.of(entry.service())));
             known.slots = Math.max(1, entry.slots());
             known.startedAtUnixMillis = entry.startedAtUnixMillis();
-            known.saidLeaving = leavingTargets.hasSaid(entry.id(), entry.startedAtUnixMillis());
-            known.heardLeaving = leavingTargets.isHeardOf(entry.id(), entry.startedAtUnixMillis());
-            known.rateLimit = rateLimits.get(entry.id(), entry.startedAtUnixMillis());
+            known.wishes = wishes.of(entry.id(), entry.startedAtUnixMillis());
             rows.put(entry.id(), known);
         }
         known.leaving = entry.draining();
@@ -139,22 +137,36 @@
      * @return whether that is new
      */
     public boolean onLeavingSaid(Target target) {
-        target.saidLeaving = true;
-        return leavingTargets.onSaid(target.name, target.startedAtUnixMillis);
+        TargetWishes.Wishes kept = keptWishes(target);
+        boolean isNew = !kept.saidLeaving;
+        kept.saidLeaving = true;
+        return isNew;
     }
 
-    /** Notes that a target said so to another router: it is a last resort from then on. */
-    public void onLeavingHeard(String name, long startedAtUnixMillis) {
-        leavingTargets.onHeard(name, startedAtUnixMillis);
+    private TargetWishes.Wishes keptWishes(Target target) {
+        wishes.keep(target.name, target.startedAtUnixMillis, target.wishes);
+        return target.wishes;
+    }
+
+    private TargetWishes.Wishes keptWishes(String name, long startedAtUnixMillis) {
         Target target = rows.get(name);
         if (target != null && target.startedAtUnixMillis == startedAtUnixMillis) {
-            target.heardLeaving = true;
+            return keptWishes(target);
         }
+        TargetWishes.Wishes known = wishes.of(name, startedAtUnixMillis);
+        wishes.keep(name, startedAtUnixMillis, known);
+        return known;
+    }
+
+    /** Notes that a target said so to another router: it is a last resort from then on. */
+    public void onLeavingHeard(String name, long startedAtUnixMillis) {
+        keptWishes(name, startedAtUnixMillis).heardLeaving = true;
     }
 
     /** Notes that a target, which is sound, wants nothing from this router for some time; a shorter time ends no longer one. */
     public void onPauseAsked(Target target, long pauseMillis, long nowMillis) {
-        target.pausedUntilMillis = Math.max(target.pausedUntilMillis, nowMillis + pauseMillis);
+        TargetWishes.Wishes kept = keptWishes(target);
+        kept.pausedUntilMillis = Math.max(kept.pausedUntilMillis, nowMillis + pauseMillis);
     }
 
     /**
@@ -165,13 +177,11 @@
      */
     public boolean onRateLimitSaid(
             Target target, OptionalDouble requestsPerSecond, long askedAtMillis, long nowMillis) {
-        RateLimit known = target.rateLimit;
-        if (requestsPerSecond.isEmpty() && known != null && askedAtMillis < known.namedAtMillis()) {
+        RateLimit known = target.wishes.rateLimit;
+        if (requestsPerSecond.isEmpty() && (known == null || askedAtMillis < known.namedAtMillis())) {
             return false;
         }
-        boolean changed = rateLimits.onNamed(target.name, target.startedAtUnixMillis, requestsPerSecond, nowMillis);
-        target.rateLimit = rateLimits.get(target.name, target.startedAtUnixMillis);
-        return changed;
+        return noteRateLimit(target.name, target.startedAtUnixMillis, requestsPerSecond, nowMillis);
     }
 
     /**
@@ -181,27 +191,27 @@
      */
     public boolean onRateLimitHeard(
             String name, long startedAtUnixMillis, OptionalDouble requestsPerSecond, long nowMillis) {
-        boolean changed = rateLimits.onNamed(name, startedAtUnixMillis, requestsPerSecond, nowMillis);
-        Target target = rows.get(name);
-        if (target != null && target.startedAtUnixMillis == startedAtUnixMillis) {
-            target.rateLimit = rateLimits.get(name, startedAtUnixMillis);
-        }
-        return changed;
+        return noteRateLimit(name, startedAtUnixMillis, requestsPerSecond, nowMillis);
     }
 
-    /** Forgets limits of which nothing was heard for long; returns the targets that are to be tried again. */
-    public List<Target> forgetLapsedRateLimits(long nowMillis) {
-        if (!rateLimits.forgetLapsed(nowMillis)) {
-            return List.of();
+    private boolean noteRateLimit(
+            String name, long startedAtUnixMillis, OptionalDouble requestsPerSecond, long nowMillis) {
+        TargetWishes.Wishes kept = keptWishes(name, startedAtUnixMillis);
+        RateLimit known = kept.rateLimit;
+        if (requestsPerSecond.isEmpty()) {
+            kept.rateLimit = null;
+            return known != null;
         }
-        List<Target> freed = new ArrayList<>();
-        for (Target target : rows.values()) {
-            if (target.rateLimit != null && rateLimits.get(target.name, target.startedAtUnixMillis) == null) {
-                target.rateLimit = null;
-                freed.add(target);
-            }
+        if (known != null) {
+            return known.onNamed(requestsPerSecond.getAsDouble(), nowMillis);
         }
-        return freed;
+        kept.rateLimit = new RateLimit(RendezvousRank.hash(name), senders, requestsPerSecond.getAsDouble(), nowMillis);
+        return true;
+    }
+
+    /** Forgets limits of which nothing was heard for long; returns the names of the targets, which are tried again. */
+    public List<String> forgetLapsedRateLimits(long nowMillis) {
+        return wishes.forgetLapsedRateLimits(nowMillis);
     }
 
     /** Forgets a target; requests in progress there go on. */
@@ -259,7 +269,7 @@
     }
 
     private static boolean promising(Target target, long nowMillis) {
-        return target.closedUntilMillis <= nowMillis && !target.heardLeaving;
+        return target.closedUntilMillis <= nowMillis && !target.heardLeaving();
     }
 
     private List<Target> select(String serves, Set<String> excluded, long nowMillis, Condition condition) {
@@ -341,8 +351,9 @@
 
     /** Counts a dispatch. */
     public void onDispatched(Target target, long nowMillis) {
-        if (target.rateLimit != null) {
-            target.rateLimit.onSent(nowMillis);
+        RateLimit limit = target.wishes.rateLimit;
+        if (limit != null) {
+            limit.onSent(nowMillis);
         }
         target.inFlight++;
         target.dispatchedSinceReport++;
--- a/src/test/java/org/radishspan/routing/TargetTableTest.java
+++ b/src/test/java/org/radishspan/routing/TargetTableTest.java
@@ -122,6 +122,16 @@
             assertEquals(usable(table, 3_400), List.of("t"), "another incarnation has asked for nothing");
         }
 
+        @Test
+        public void keepItWhenTheirEntryLapsesAndComesBack() {
+            TargetTable table = table("t");
+            table.onPauseAsked(target(table, "t"), 2_500, 1_000);
+            table.deregister("t");
+            table.register(entry("t", BORN));
+            assertEquals(usable(table, 3_400), List.of());
+            assertEquals(usable(table, 3_500), List.of("t"));
+        }
+
         @Test
         public void tellWhenTheFirstOfThemIsBack() {
             TargetTable table = table("t", "u", "v");
