Keep within the connections that a target takes from all routers together

What callers see: beyond its bound a target resets connections; the requests are placed again, and the target counts as unreachable for 0.3 s and longer although it is sound.

Change: each router has at most its part of a target's connections in use, by the same list of routers in the store as for limits; where there are more routers than connections the first by rendezvous hashing have one each. A target without one left is no candidate; if that holds for all targets of a service the caller is refused at once, not run, with a time.

--- a/src/main/java/org/radishspan/deployment/DeploymentConfiguration.java
+++ b/src/main/java/org/radishspan/deployment/DeploymentConfiguration.java
@@ -1,6 +1,7 @@
 package org.radishspan.deployment;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +68,11 @@
         return Optional.ofNullable(workspacesByKey.get(callerKey));
     }
 
+    /** Returns the services. */
+    public Collection<ServiceSpec> services() {
+        return services.values();
+    }
+
     /** Returns a service by name. */
     public Optional<ServiceSpec> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -287,6 +287,7 @@
         if (configuredAtMillis == 0) {
             configuredAtMillis = ports.clockMillis().getAsLong();
         }
+        adopted.services().forEach(service -> targets.setMaxConnections(service.name(), service.maxConnections()));
         if (!earlierClosed) {
             earlierClosed = true;
             gateway.closeEarlier(
--- a/src/main/java/org/radishspan/relay/TargetPicker.java
+++ b/src/main/java/org/radishspan/relay/TargetPicker.java
@@ -59,7 +59,7 @@
         if (waitMillis.isPresent()) {
             return Failure.notRun(
                             ErrorKind.OVERLOADED,
-                            "every target of the service asked for a pause or for fewer requests a second")
+                            "every target of the service asked for a pause, or has the requests that it takes")
                     .retryAfter(waitMillis.getAsLong());
         }
         boolean refused = row.sends > 0;
--- a/src/main/java/org/radishspan/routing/RateSenders.java
+++ b/src/main/java/org/radishspan/routing/RateSenders.java
@@ -65,6 +65,18 @@
         return ranksAmongFirst(targetHash, senders) ? limitPerSecond / senders : 0;
     }
 
+    /** Returns how many connections this router may have to a target that takes so many from all routers together. */
+    int connectionShare(int targetHash, int maxConnections) {
+        if (!listed.getAsBoolean()) {
+            return 1;
+        }
+        int routers = 1 + otherHashes.length;
+        if (maxConnections >= routers) {
+            return maxConnections / routers;
+        }
+        return ranksAmongFirst(targetHash, maxConnections) ? 1 : 0;
+    }
+
     private boolean ranksAmongFirst(int targetHash, int count) {
         if (count > otherHashes.length) {
             return true;
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -38,6 +38,9 @@
             boolean leaving,
             Set<String> serves) {}
 
+    /** A request at a target that has all its connections in use ends within this time; a plain call takes some ten milliseconds. */
+    private static final long CONNECTION_WAIT_MILLIS = 200;
+
     /** A target that refuses connections is left alone for this long at first, twice as long after each further time. */
     private static final long FIRST_UNREACHABLE_MILLIS = 300;
 
@@ -52,6 +55,7 @@
     private final TargetWishes wishes = new TargetWishes();
     private final RateSenders senders;
     private final Map<String, WorkSpeed> serviceSpeeds = new HashMap<>();
+    private final Map<String, Integer> maxConnections = new HashMap<>();
 
     /** Creates a table for a router that is the only one to send. */
     public TargetTable() {
@@ -236,6 +240,17 @@
         target.dispatchedSinceReport = 0;
     }
 
+    /** Notes how many connections each target of a service takes from all routers together. */
+    public void setMaxConnections(String service, int connections) {
+        maxConnections.put(service, connections);
+    }
+
+    /** A connection carries one request at a time. */
+    private boolean hasConnectionLeft(Target target, String service) {
+        Integer max = maxConnections.get(service);
+        return max == null || target.inFlight < senders.connectionShare(target.nameHash, max);
+    }
+
     /** Counts prompt tokens that a target has yet to read. */
     public void addPendingPrompt(Target target, long tokens) {
         target.pendingPromptTokens += tokens;
@@ -276,7 +291,10 @@
         List<Target> result = new ArrayList<>();
         for (Target target : rows.values()) {
             boolean wanted = !target.leaving() && target.serves.contains(serves) && !excluded.contains(target.name);
-            if (wanted && target.takesWork(nowMillis) && condition.holds(target, nowMillis)) {
+            if (wanted
+                    && target.takesWork(nowMillis)
+                    && hasConnectionLeft(target, serves)
+                    && condition.holds(target, nowMillis)) {
                 result.add(target);
             }
         }
@@ -284,8 +302,8 @@
     }
 
     /**
-     * Returns when the first target of a service takes work again; empty unless all that stay have asked for a pause or have had
-     * what they take in a second.
+     * Returns when the first target of a service takes work again; empty unless all that stay have asked for a pause, or have had
+     * what they take in a second or at once.
      */
     public OptionalLong waitMillis(String serves, long nowMillis) {
         long leastMillis = Long.MAX_VALUE;
@@ -293,10 +311,12 @@
             if (target.leaving() || !target.serves.contains(serves)) {
                 continue;
             }
-            if (target.takesWork(nowMillis)) {
+            boolean connectionLeft = hasConnectionLeft(target, serves);
+            if (connectionLeft && target.takesWork(nowMillis)) {
                 return OptionalLong.empty();
             }
-            leastMillis = Math.min(leastMillis, target.waitMillis(nowMillis));
+            long connectionMillis = connectionLeft ? 0 : CONNECTION_WAIT_MILLIS;
+            leastMillis = Math.min(leastMillis, Math.max(connectionMillis, target.waitMillis(nowMillis)));
         }
         return leastMillis == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(leastMillis);
     }
--- a/src/test/java/org/radishspan/front/FleetTargets.java
+++ b/src/test/java/org/radishspan/front/FleetTargets.java
@@ -14,6 +14,8 @@
 
     private final Map<String, List<Long>> arrivalsMillis = new HashMap<>();
     private final Map<String, OptionalDouble> rateLimits = new HashMap<>();
+    private final Map<String, Integer> inProgress = new HashMap<>();
+    private int mostAtOnce;
 
     /** Returns the header of a request that names the target. */
     static String nameHeader() {
@@ -27,6 +29,16 @@
 
     void onArrival(String target, long atMillis) {
         arrivalsMillis.computeIfAbsent(target, ignored -> new ArrayList<>()).add(atMillis);
+        mostAtOnce = Math.max(mostAtOnce, inProgress.merge(target, 1, Integer::sum));
+    }
+
+    void onEnd(String target) {
+        inProgress.merge(target, -1, Integer::sum);
+    }
+
+    /** Returns the most requests that one target had at once. */
+    int mostAtOnce() {
+        return mostAtOnce;
     }
 
     /** Returns a header of a target's answer. */
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -443,6 +443,7 @@
         boolean[] cancelled = {false};
         at(nowMicros + WORK_MICROS, () -> {
             if (!cancelled[0]) {
+                targets.onEnd(target);
                 listener.onHead(200, name -> targets.answerHeader(target, name));
                 listener.onEnd();
             }
@@ -450,7 +451,10 @@
         return new HttpTransport.Call() {
             @Override
             public void cancel() {
-                cancelled[0] = true;
+                if (!cancelled[0]) {
+                    cancelled[0] = true;
+                    targets.onEnd(target);
+                }
             }
 
             @Override
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -226,6 +226,32 @@
         }
     }
 
+    /** Targets that take so many connections from all routers together; one carries one request at a time. */
+    public static class Connections {
+        /** As the configuration of the fleet says. */
+        private static final int MAX_CONNECTIONS = 100;
+
+        @DataProvider
+        public Object[][] fleets() {
+            return new Object[][] {{6, 0, 50}, {6, 1, 50}, {75, 0, 50}, {75, 1, 0}, {150, 0, 50}};
+        }
+
+        @Test(dataProvider = "fleets")
+        public void toOneTargetAreWithinItsBoundForAllRoutersTogether(int routers, int lostMessages, int leastAtOnce) {
+            FrontFleet fleet = new FrontFleet(new FrontFleet.Layout(routers, 3, 10, 300, DAY_SECONDS, 125_000, 200), 1);
+            fleet.pass(SETTLE_DOWN_MILLIS);
+            fleet.loseMessages(lostMessages);
+            fleet.serve(4_000);
+            int most = fleet.targets().mostAtOnce();
+            assertTrue(most <= MAX_CONNECTIONS, most + " at once");
+            assertTrue(most >= leastAtOnce, most + " at once");
+            assertTrue(
+                    fleet.refusals().stream()
+                            .allMatch(refusal -> refusal.ran() == Failure.Ran.NO && refusal.retryAfterMillis() > 0),
+                    "refusals say that the request has not run, and when to come back");
+        }
+    }
+
     /** Routers that start again. */
     public static class Restarts {
         /** Other operators saw it: after a restart a key that had been withdrawn, or a server that had left, was in use. */
