End connections on which no answer comes and the bytes do not end

What callers see: a target in trouble that sends informational heads, or an answer to another request, without end holds the request up until its deadline, as each byte counted as progress; a call of the store would never have ended. Evidence: HttpClientTest.bytesThatAreNoAnswerAndDoNotEndAreAFailure plays eight forms; three failed on the code before (endless informational heads; endless foreign body, chunked and without a length), five were bounded by the codec already. All pass now.

Change: what is passed over on a connection is bounded by 100 heads and the users' longest body; beyond that the call fails as broken, and the connection is closed.

--- a/src/main/java/org/radishspan/http/HttpClient.java
+++ b/src/main/java/org/radishspan/http/HttpClient.java
@@ -56,6 +56,12 @@
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /** Bytes of answers to other requests that are passed over on a connection: one of the users' longest bodies. */
+    private static final int MAX_SKIPPED_BYTES = 4_194_304;
+
+    /** Heads passed over before an answer: informational ones come one or two at a time. */
+    private static final int MAX_SKIPPED_HEADS = 100;
+
     private final EventLoopGroup group;
     private final Map<String, Deque<Idle>> idle = new HashMap<>();
 
@@ -145,6 +151,8 @@
         private boolean reused;
         private boolean keepAlive = true;
         private boolean skipping;
+        private int skippedHeads;
+        private long skippedBytes;
         private long idleNanos = MAX_IDLE_NANOS;
         private boolean finished;
 
@@ -204,6 +212,8 @@
             // Nothing tells what else a connection carries on which a foreign answer came.
             keepAlive &= !foreign;
             if (skipping) {
+                skippedHeads++;
+                endIfSkippedTooMuch();
                 return;
             }
             keepAlive &= HttpUtil.isKeepAlive(response);
@@ -230,13 +240,24 @@
 
         void body(ByteBuf content) {
             progressAtNanos = System.nanoTime();
-            if (content.isReadable() && !skipping) {
+            if (skipping) {
+                skippedBytes += content.readableBytes();
+                endIfSkippedTooMuch();
+                return;
+            }
+            if (content.isReadable()) {
                 byte[] bytes = new byte[content.readableBytes()];
                 content.readBytes(bytes);
                 listener.onBody(bytes);
             }
         }
 
+        private void endIfSkippedTooMuch() {
+            if (skippedBytes > MAX_SKIPPED_BYTES || skippedHeads > MAX_SKIPPED_HEADS) {
+                fail("what comes from " + address(request) + " is no answer to the request, and does not end");
+            }
+        }
+
         void end() {
             if (skipping) {
                 skipping = false;
--- a/src/test/java/org/radishspan/http/HttpClientTest.java
+++ b/src/test/java/org/radishspan/http/HttpClientTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -17,11 +18,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /** Answers that are not what a client hopes for. */
 public class HttpClientTest {
@@ -88,11 +91,57 @@
         }
     }
 
+    /** A server that answers the first request with a text, and another one again and again until the caller closes. */
+    private static final class EndlessServer implements AutoCloseable {
+        private static final int REPEATS_A_WRITE = 500;
+
+        private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final CountDownLatch closed = new CountDownLatch(1);
+        private final String start;
+        private final byte[] repeated;
+
+        EndlessServer(String start, String repeated) throws IOException {
+            this.start = start;
+            this.repeated = repeated.repeat(REPEATS_A_WRITE).getBytes(UTF_8);
+            Thread worker = new Thread(this::serve, "endless-server");
+            worker.setDaemon(true);
+            worker.start();
+        }
+
+        int port() {
+            return socket.getLocalPort();
+        }
+
+        private void serve() {
+            try (Socket connection = socket.accept()) {
+                OutputStream out = connection.getOutputStream();
+                if (connection.getInputStream().read(new byte[4_096]) > 0) {
+                    out.write(start.getBytes(UTF_8));
+                    while (true) {
+                        out.write(repeated);
+                    }
+                }
+            } catch (IOException e) {
+                // The caller has closed the connection, or the test the server.
+                closed.countDown();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
     private String call(HttpClient client, RawServer server) throws InterruptedException {
+        return call(client, server.socket.getLocalPort());
+    }
+
+    private String call(HttpClient client, int port) throws InterruptedException {
         BlockingQueue<String> results = new LinkedBlockingQueue<>();
         HttpTransport.Request request = new HttpTransport.Request(
                 InetAddress.getLoopbackAddress().getHostAddress(),
-                server.socket.getLocalPort(),
+                port,
                 "GET",
                 "/",
                 List.of(Map.entry("X-Id", "mine")),
@@ -271,6 +320,29 @@
         }
     }
 
+    @DataProvider
+    public Object[][] endless() {
+        return new Object[][] {
+            {"", "no http at all "},
+            {"HTTP/1.1 200 OK\r\n", "X-Id: mine\r\n"},
+            {"HTTP/1.1 200 OK\r\nX-Id: ", "mine"},
+            {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nX-Id: another\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+            {"HTTP/1.1 200 OK\r\nX-Id: another\r\n\r\n", "bytes"},
+            {"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: x\r\n"},
+            {"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n4;", "extension"}
+        };
+    }
+
+    /** Told on the users' pages: bytes that are no answer may come without end, until the caller closes. */
+    @Test(dataProvider = "endless")
+    public void bytesThatAreNoAnswerAndDoNotEndAreAFailure(String start, String repeated) throws Exception {
+        try (EndlessServer server = new EndlessServer(start, repeated)) {
+            assertEquals(call(new HttpClient(group), server.port()), "failed");
+            assertTrue(server.closed.await(WAIT_MILLIS, TimeUnit.MILLISECONDS), "the connection is closed");
+        }
+    }
+
     @Test
     public void bytesThatAreNoAnswerAreAFailure() throws Exception {
         try (RawServer server = new RawServer(i -> "no http at all\r\n\r\n")) {
