Break off streams whose bytes bring no further event

What callers see: a stream that goes on with empty lines, comments or events it has had already stays open until its deadline and fills the VM's link meanwhile; events of the past counted as progress, so that no other target took the stream over. Evidence: RelaySystemTest.EndlessAnswers, five forms of 16 MB; three failed on the code before (empty lines, an old event again, comments as events), two were bounded. All pass now, and the 57 tests of RelaySystemTest, EventStreamTest and DemoTest.

Change: only an event with a higher number than before, or any event of a stream without numbers, is progress; a megabyte without one breaks the attempt off, like any broken answer.

--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -38,8 +38,8 @@
         /** The head of a stream has come. */
         void onStreamHead(Attempt attempt, TargetProtocol.AnswerHead head);
 
-        /** A whole event of a stream has come. */
-        void onEvent(Attempt attempt, EventStream.Event event);
+        /** A whole event of a stream has come; returns whether it brings the stream forward. */
+        boolean onEvent(Attempt attempt, EventStream.Event event);
 
         /** A stream has ended regularly. */
         void onStreamEnd(Attempt attempt);
@@ -57,6 +57,9 @@
     /** The longest answer that is collected: the users' longest bodies have 4 MB. */
     private static final int MAX_COLLECTED_BYTES = 8_388_608;
 
+    /** Bytes of a stream without another event: far above the longest event that targets send. */
+    private static final int MAX_BYTES_BETWEEN_EVENTS = 1_048_576;
+
     /** Fewer bytes are no progress of an answer; those of the users' services have some hundred. */
     private static final int PROGRESS_BYTES = 256;
 
@@ -172,16 +175,23 @@
             }
             return;
         }
+        bytesSinceProgress += bytes.length;
         for (EventStream.Event event : events.onBytes(bytes)) {
             if (ended) {
                 return;
             }
             eventsHere++;
-            progressAtMillis = clockMillis.getAsLong();
-            outcomes.onEvent(this, event);
+            if (outcomes.onEvent(this, event)) {
+                bytesSinceProgress = 0;
+                progressAtMillis = clockMillis.getAsLong();
+            }
         }
         if (events.tooLong()) {
             trouble(Trouble.BROKEN, "an event of the stream does not end");
+            return;
+        }
+        if (bytesSinceProgress > MAX_BYTES_BETWEEN_EVENTS) {
+            trouble(Trouble.BROKEN, bytesSinceProgress + " bytes of the stream brought no further event");
         }
     }
 
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -490,7 +490,7 @@
         }
 
         @Override
-        public void onEvent(Attempt attempt, EventStream.Event event) {
+        public boolean onEvent(Attempt attempt, EventStream.Event event) {
             RelayRequest row = attempt.row;
             if (attempt.eventsHere == 1) {
                 clearPendingPrompt(attempt);
@@ -500,9 +500,10 @@
                     ports.metrics().onFirstByte(now() - row.acceptedAtMillis);
                 }
             }
-            if (event.id() != EventStream.NO_ID) {
+            boolean numbered = event.id() != EventStream.NO_ID;
+            if (numbered) {
                 if (row.lastEventId.isPresent() && event.id() <= row.lastEventId.getAsLong()) {
-                    return;
+                    return false;
                 }
                 row.lastEventId = OptionalLong.of(event.id());
             }
@@ -512,6 +513,7 @@
             if (!row.exchange.writable()) {
                 attempt.setPaused(true);
             }
+            return numbered || row.lastEventId.isEmpty();
         }
 
         @Override
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -443,6 +443,32 @@
         }
     }
 
+    /** Told on the users' pages: bytes that are no answer may come without end, until the caller closes. */
+    public static class EndlessAnswers {
+        private static final String STAMP = "X-Server-Stamp";
+        private static final int MOST_BYTES = 16_777_216;
+
+        @DataProvider
+        public Object[][] streams() {
+            return new Object[][] {{"\n"}, {": \n"}, {"data: x"}, {"id: 1\ndata: 1\n\n"}, {": \n\n"}};
+        }
+
+        @Test(dataProvider = "streams")
+        public void ofStreamsWithoutAnotherEventAreBrokenOff(String repeated) {
+            RelayHarness harness = new RelayHarness(1);
+            RelayHarness.Caller caller = harness.call("once");
+            RelayHarness.Sent sent = harness.last();
+            sent.head(200, "Content-Type", STREAM, STAMP, "stamp");
+            sent.events(1, 1);
+            String bytes = repeated.repeat(10_000);
+            for (int total = 0; total < MOST_BYTES && !sent.cancelled; total += bytes.length()) {
+                sent.bytes(bytes);
+            }
+            assertTrue(sent.cancelled, "the connection is closed");
+            assertTrue(caller.aborted, "the caller is told that the stream is not whole");
+        }
+    }
+
     /** Callers who leave. */
     public static class Leaving {
         @Test
