Bound the memory that unfinished answers take together

Each answer was bounded by 8 MB, all of them together by nothing.

What callers see: a target in trouble that sends endless bodies on 60 connections takes 120 MB and more of a heap of 96 MB; the router ends for want of memory, and with it every request in progress there. The end for want of memory itself was not played.

--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -68,6 +68,7 @@
     final long sentAtMillis;
     private final TargetProtocol protocol;
     private final Outcomes outcomes;
+    private final CollectedBytes collectedBytes;
     private final LongSupplier clockMillis;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventStream events = new EventStream();
@@ -87,6 +88,7 @@
             Awaited awaited,
             TargetProtocol protocol,
             Outcomes outcomes,
+            CollectedBytes collectedBytes,
             LongSupplier clockMillis) {
         this.row = row;
         this.target = choice.target();
@@ -94,6 +96,7 @@
         this.awaited = awaited;
         this.protocol = protocol;
         this.outcomes = outcomes;
+        this.collectedBytes = collectedBytes;
         this.clockMillis = clockMillis;
         this.sentAtMillis = clockMillis.getAsLong();
         this.progressAtMillis = sentAtMillis;
@@ -108,7 +111,7 @@
 
     /** Closes the connection; nothing more is heard of this attempt. */
     void cancel() {
-        ended = true;
+        end();
         if (call != null) {
             call.cancel();
         }
@@ -169,10 +172,7 @@
         }
         if (!answer.stream() || !answer.success()) {
             noteProgress(bytes.length);
-            body.writeBytes(bytes);
-            if (body.size() > MAX_COLLECTED_BYTES) {
-                trouble(Trouble.BROKEN, "the answer is longer than " + MAX_COLLECTED_BYTES + " bytes");
-            }
+            collect(bytes);
             return;
         }
         bytesSinceProgress += bytes.length;
@@ -195,6 +195,26 @@
         }
     }
 
+    private void collect(byte[] bytes) {
+        if (body.size() + bytes.length > MAX_COLLECTED_BYTES) {
+            trouble(Trouble.BROKEN, "the answer is longer than " + MAX_COLLECTED_BYTES + " bytes");
+            return;
+        }
+        if (!collectedBytes.tryAdd(body.size(), bytes.length)) {
+            trouble(Trouble.BROKEN, "the answers in progress take the memory that there is for them");
+            return;
+        }
+        body.writeBytes(bytes);
+    }
+
+    /** Nothing more is taken in; what was collected is no longer held. */
+    private void end() {
+        if (!ended) {
+            ended = true;
+            collectedBytes.remove(body.size());
+        }
+    }
+
     private void noteProgress(int bytes) {
         bytesSinceProgress += bytes;
         if (bytesSinceProgress >= PROGRESS_BYTES) {
@@ -217,7 +237,7 @@
             endStream();
             return;
         }
-        ended = true;
+        end();
         outcomes.onAnswer(this, answer, body.toByteArray());
     }
 
@@ -226,7 +246,7 @@
             trouble(Trouble.BROKEN, "the stream ended within an event or without any");
             return;
         }
-        ended = true;
+        end();
         outcomes.onStreamEnd(this);
     }
 
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -107,6 +107,7 @@
     private final TokenMeter tokens;
     private final Set<RelayRequest> rows = new LinkedHashSet<>();
     private final Attempt.Outcomes outcomes = new AttemptOutcomes();
+    private final CollectedBytes collectedBytes = new CollectedBytes();
     private long sweptAtMillis;
 
     /** Creates the system for a router in a failure domain. */
@@ -218,7 +219,13 @@
         Target target = choice.target();
         row.sends++;
         Attempt attempt = new Attempt(
-                row, choice, ports.targets().await(choice, nowMillis), ports.protocol(), outcomes, ports.clockMillis());
+                row,
+                choice,
+                ports.targets().await(choice, nowMillis),
+                ports.protocol(),
+                outcomes,
+                collectedBytes,
+                ports.clockMillis());
         row.attempt = attempt;
         attempt.pendingPromptTokens = choice.uncachedTokens();
         ports.targets().onDispatched(target, nowMillis);
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -467,6 +467,26 @@
             assertTrue(sent.cancelled, "the connection is closed");
             assertTrue(caller.aborted, "the caller is told that the stream is not whole");
         }
+
+        @Test
+        public void onManyConnectionsLeaveMemoryForOthers() {
+            RelayHarness harness = new RelayHarness(1);
+            for (int i = 0; i < 60; i++) {
+                harness.call("read");
+                harness.last().head(200, STAMP, "stamp");
+            }
+            List<RelayHarness.Sent> endless = List.copyOf(harness.sent);
+            String bytes = "x".repeat(100_000);
+            for (int round = 0; round < 20; round++) {
+                endless.stream().filter(sent -> !sent.cancelled).forEach(sent -> sent.bytes(bytes));
+            }
+            long held = 2_000_000L
+                    * endless.stream().filter(sent -> !sent.cancelled).count();
+            assertTrue(held <= 96_000_000 / 3, held + " bytes are held, of a heap of 96 MB");
+            RelayHarness.Caller other = harness.call("read");
+            harness.last().answer(200, "done", STAMP, "stamp");
+            assertEquals(other.status, 200);
+        }
     }
 
     /** Callers who leave. */
