Do not handle requests whose callers have left before they were read

In the trace of a caller with a deadline of 1 s sends at 39.579 s, leaves at 40.579 s, and a VM of 0.12 core sends the request on at 42.764 s.

Cause: a starved router reads a request seconds late and handles it within the read, before it has read on and found the caller's close behind it. StallWatch tells by the turns of the event loop how long a request may have waited; a connection that waits to be accepted for one long turn and is read in a short one after it escapes it.

Change: a connection is read to its end (one more read a request), and its request is handled in the same turn after that, unless the connection is closed by then.

--- a/src/main/java/org/radishspan/http/HttpServer.java
+++ b/src/main/java/org/radishspan/http/HttpServer.java
@@ -14,12 +14,14 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -81,6 +83,9 @@
     private static final int BACKLOG = 1_024;
     private static final long SWEEP_MILLIS = 500;
 
+    /** Netty's own figure for connections. */
+    private static final int MAX_READS_A_TURN = 16;
+
     private final Channel channel;
     private final Set<Connection> connections = new HashSet<>();
     private boolean lastAnswers;
@@ -92,6 +97,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
@@ -108,6 +114,14 @@
         channel.eventLoop().scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Reads on until nothing is left, so that a close behind a request is seen in the same turn. */
+    private static RecvByteBufAllocator readingToTheEnd() {
+        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        allocator.maxMessagesPerRead(MAX_READS_A_TURN);
+        allocator.respectMaybeMoreData(false);
+        return allocator;
+    }
+
     /** Binds a port, 0 for any free one; fails with an exception if it is taken. */
     public static HttpServer start(EventLoopGroup group, String host, int port, int maxBodyBytes, Handler handler) {
         Limits limits = Limits.withMaxBodyBytes(maxBodyBytes);
@@ -314,7 +328,20 @@
             if (lastAnswers) {
                 call.closeAfterAnswer();
             }
-            handler.handle(call);
+            handleUnlessClosed(call);
+        }
+
+        /** Handles a call once the connection has been read to its end: a caller who has left wants nothing any more. */
+        private void handleUnlessClosed(HttpCall call) {
+            ChannelHandlerContext context = connected;
+            if (context == null) {
+                return;
+            }
+            context.executor().execute(() -> {
+                if (current == call && context.channel().isActive()) {
+                    handler.handle(call);
+                }
+            });
         }
 
         private void refuse(ChannelHandlerContext context, ErrorKind kind, String message) {
--- a/src/test/java/org/radishspan/http/HttpServerTest.java
+++ b/src/test/java/org/radishspan/http/HttpServerTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -73,6 +74,49 @@
         return answer.toString();
     }
 
+    /** A starved router read requests seconds late, after their callers had left, and passed them on (GONE). */
+    @Test
+    public void aRequestWhoseCallerHasLeftBeforeItIsReadIsNotHandled() throws Exception {
+        AtomicInteger handled = new AtomicInteger();
+        HttpServer server = HttpServer.start(group, "127.0.0.1", 0, 1_000, call -> {
+            handled.incrementAndGet();
+            call.respond(200, "text/plain", "ok");
+        });
+        CountDownLatch free = new CountDownLatch(1);
+        try (Socket kept = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            kept.getOutputStream().write(REQUEST.getBytes(ISO_8859_1));
+            readAnswer(kept.getInputStream());
+            group.next().execute(() -> await(free));
+            for (int i = 0; i < CALLERS; i++) {
+                try (Socket leaving = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+                    leaving.getOutputStream().write(REQUEST.getBytes(ISO_8859_1));
+                }
+            }
+            kept.getOutputStream().write(REQUEST.getBytes(ISO_8859_1));
+            free.countDown();
+            readAnswer(kept.getInputStream());
+            assertEquals(callOnce(server.port()), "ok");
+        }
+        assertEquals(handled.get(), 3, "two requests on the kept connection, and one on a new one");
+        server.stop();
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String callOnce(int port) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(REQUEST.getBytes(ISO_8859_1));
+            String answer = readAnswer(socket.getInputStream());
+            return answer.substring(answer.lastIndexOf('\n') + 1);
+        }
+    }
+
     /** Other operators saw it: during a planned stop under load, requests that had just been accepted were cut off. */
     @Test
     public void aPlannedStopUnderLoadAnswersEveryRequestThatWasRead() throws Exception {
