Give the targets of the virtual fleet as many connections as its load needs

The whole test run on (734 tests) was red in two: FrontFleetTest.ManyRouters.serveWhatTheBudgetsAfford and serveAgainSoonAfterALossOfPower. Cause, traced: since connections are bounded, the fleet's own configuration binds: it gave its one target 100 connections, while 208 calls a second of 0.7 s keep 146 in use; these tests ask that all calls are served, which that configuration does not allow.

Change: the configuration gives 2,000 by default, and FrontFleetTest.Connections, whose subject they are, writes one with 100 as before.

--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -93,6 +93,7 @@
     private static final long TIMEOUT_MICROS = 500 * MICROS;
     private static final long WORK_MICROS = 700 * MICROS;
     private static final long REBOOT_CLOCK_MILLIS = 9_000_000;
+    private static final int AMPLE_CONNECTIONS = 2_000;
     private static final double LARGE_FRACTION = 0.53;
     private static final long LARGE_SHARED_TOKENS = 6_300;
     private static final long LARGE_TOKENS = 2_890;
@@ -322,6 +323,7 @@
     private final Map<String, Long> spentTokens = new HashMap<>();
     private final Map<String, Integer> sends = new HashMap<>();
     private final Map<String, Integer> storeCalls = new TreeMap<>();
+    private int maxConnections = AMPLE_CONNECTIONS;
     private double lostMessages;
     private long served;
     private long revision = 1;
@@ -371,6 +373,12 @@
                 Json.parseObject(configuration(version).getBytes(UTF_8)).orElseThrow());
     }
 
+    /** Writes a configuration by which each target takes fewer connections from all routers together. */
+    void limitConnections(int connections, long version) {
+        maxConnections = connections;
+        configure(version);
+    }
+
     /** Returns the configuration version that set the limit of a workspace, as the ledger has it. */
     long limitVersion(int workspace) {
         return account(workspace).getLimitVersion();
@@ -400,7 +408,8 @@
         return "{\"version\": " + version + """
                 , "routes": [{"name": "r", "host": "h", "path_prefix": "/r/", "kind": "unsafe",
                   "timeout_ms": 6000, "target_latency_ms": 800, "service": "s"}],
-                 "services": [{"name": "s", "max_conns": 100}], "limits": {}, "tenants": [""" + tenants + "]}";
+                 "services": [{"name": "s", "max_conns": """ + maxConnections + """
+                }], "limits": {}, "tenants": [""" + tenants + "]}";
     }
 
     private void at(long atMicros, Runnable action) {
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -228,7 +228,6 @@
 
     /** Targets that take so many connections from all routers together; one carries one request at a time. */
     public static class Connections {
-        /** As the configuration of the fleet says. */
         private static final int MAX_CONNECTIONS = 100;
 
         @DataProvider
@@ -239,6 +238,7 @@
         @Test(dataProvider = "fleets")
         public void toOneTargetAreWithinItsBoundForAllRoutersTogether(int routers, int lostMessages, int leastAtOnce) {
             FrontFleet fleet = new FrontFleet(new FrontFleet.Layout(routers, 3, 10, 300, DAY_SECONDS, 125_000, 200), 1);
+            fleet.limitConnections(MAX_CONNECTIONS, 7);
             fleet.pass(SETTLE_DOWN_MILLIS);
             fleet.loseMessages(lostMessages);
             fleet.serve(4_000);
