Move what answers' heads ask of routers out of RelaySystem

WishReader does the latter; requests that have not left the VM are moved once after all of a head is read. No behaviour is meant to change: 85 tests of RelaySystemTest, TargetTableTest, WireNamesTest and FrontFleetTest.RateLimits pass.

--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -108,6 +108,7 @@
     private final Set<RelayRequest> rows = new LinkedHashSet<>();
     private final Attempt.Outcomes outcomes = new AttemptOutcomes();
     private final CollectedBytes collectedBytes = new CollectedBytes();
+    private final WishReader wishes;
     private long sweptAtMillis;
 
     /** Creates the system for a router in a failure domain. */
@@ -118,6 +119,7 @@
         this.crashes = new CrashWatch(ports.strikes());
         this.admission = new Admission(crashes, ports.random());
         this.tokens = new TokenMeter(ports.tokens(), ports.log());
+        this.wishes = new WishReader(ports, this::moveUnsent);
     }
 
     /** Returns the requests in progress. */
@@ -257,6 +259,20 @@
         attempt.start(ports.transport(), request);
     }
 
+    /** Places requests anew that were sent to a target and have not left this VM. */
+    private void moveUnsent(Target target) {
+        for (RelayRequest row : List.copyOf(rows)) {
+            Attempt attempt = row.attempt;
+            if (attempt != null && attempt.target == target && attempt.unsent()) {
+                row.attempt = null;
+                row.sends--;
+                attempt.cancel();
+                leaveTarget(attempt, true);
+                place(row);
+            }
+        }
+    }
+
     /** Counts an attempt out of its target. */
     private void leaveTarget(Attempt attempt, boolean answered) {
         attempt.awaited.end();
@@ -418,68 +434,12 @@
         @Override
         public void onHead(Attempt attempt, TargetProtocol.AnswerHead head) {
             head.load().ifPresent(load -> ports.targets().onLoad(attempt.target, load.running(), load.waiting()));
-            noteWishes(attempt.target, head);
-            noteRateLimit(attempt, head);
+            wishes.onHead(attempt, head);
             if (!head.stream()) {
                 ports.metrics().onFirstByte(now() - attempt.row.acceptedAtMillis);
             }
         }
 
-        /** Notes that a target is leaving, or wants a pause; requests that have not left this VM go elsewhere. */
-        private void noteWishes(Target target, TargetProtocol.AnswerHead head) {
-            if (head.leaving() && ports.targets().onLeavingSaid(target)) {
-                ports.targetNews().leaving(target);
-                ports.log()
-                        .belief("target_said_leaving")
-                        .with("target", target.name())
-                        .with("started_unix_ms", target.startedAtUnixMillis())
-                        .write();
-            }
-            if (head.pauseMillis().isPresent()) {
-                ports.targets().onPauseAsked(target, head.pauseMillis().getAsLong(), now());
-                ports.log()
-                        .belief("target_asked_for_pause")
-                        .with("target", target.name())
-                        .with("pause_ms", head.pauseMillis().getAsLong())
-                        .write();
-            }
-            if (head.leaving() || head.pauseMillis().isPresent()) {
-                moveUnsent(target);
-            }
-        }
-
-        private void noteRateLimit(Attempt attempt, TargetProtocol.AnswerHead head) {
-            OptionalDouble named = head.requestsPerSecond();
-            // What another target, or nobody, has signed says nothing of a limit that this one had named.
-            boolean itsOwn = head.signed() && !head.otherTarget();
-            if (named.isEmpty() && !itsOwn) {
-                return;
-            }
-            Target target = attempt.target;
-            OptionalDouble before = target.requestsPerSecond();
-            if (!ports.targets().onRateLimitSaid(target, named, attempt.sentAtMillis, now())) {
-                return;
-            }
-            ports.metrics().onRateLimitChanged();
-            ports.targetNews().rateLimited(target, before);
-            if (before.isEmpty()) {
-                moveUnsent(target);
-            }
-        }
-
-        private void moveUnsent(Target target) {
-            for (RelayRequest row : List.copyOf(rows)) {
-                Attempt attempt = row.attempt;
-                if (attempt != null && attempt.target == target && attempt.unsent()) {
-                    row.attempt = null;
-                    row.sends--;
-                    attempt.cancel();
-                    leaveTarget(attempt, true);
-                    place(row);
-                }
-            }
-        }
-
         @Override
         public void onStreamHead(Attempt attempt, TargetProtocol.AnswerHead head) {
             // Relayed with the first event: until then another target may still take the request over whole.
