Let a large fleet repeat failed calls of the store no oftener than it bears

What callers see: nothing at once; but a store that turns everybody away gets the most calls just then, each is priced, and they keep it from recovering. Evidence, on virtual time: 95 routers made 8,986 calls in 8 s of refusals (3,094 reads of the ledger, 2,814 and 2,786 watches; at rest they make 215 in 10 s).

Cause: the longest time between two tries is half a second at each router, whatever the number of routers.

Change: it grows with the fleet, so that all routers together repeat about 100 calls a second of each kind, the ledger included; up to 25 routers it stays as it was. The first router that is answered tells the others as before, and a router that hears so now tries its ledger at once (SharedObject.onStoreBack) instead of after the longer time.

FrontFleetTest.ManyRouters.callAStoreThatRefusesThemNoOftenerThanItBears failed before (8,986, allowed 2,664); after the store's return all routers have a new configuration within the 3 s of the settings, and over 99% of calls are served. 58 tests of the classes touched pass.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -156,6 +156,7 @@
     private boolean earlierClosed;
     private long fleetSeenAtMillis;
     private long configuredAtMillis;
+    private boolean storeFailing;
     private boolean draining;
     private boolean sharesReady;
 
@@ -182,7 +183,8 @@
                         settings.store().fleetWritesPerSecond(),
                         settings.store().fleetWritesPerSecond()),
                 ports.random(),
-                COMMIT_GAP_MILLIS);
+                COMMIT_GAP_MILLIS,
+                () -> feed().maxBackoffMillis());
         this.ledgers = new LedgerPartitions(LEDGERS, objectPorts);
         this.ledgerReport = new LedgerReport(ledgers, ports.log());
         this.peers = new PeerSystem(
@@ -430,6 +432,7 @@
         feed.tick(nowMillis);
         configurationWatch.tick(nowMillis);
         targetWatch.tick(nowMillis);
+        noticeStoreBack();
         targetDirectory.tick();
         routerWatch.tick(nowMillis);
         routers.tick(nowMillis);
@@ -458,6 +461,15 @@
         ledgerReport.tick(nowMillis);
     }
 
+    /** Another router may have told that the store answers again. */
+    private void noticeStoreBack() {
+        boolean failing = targetWatch.failedWithin(0);
+        if (storeFailing && !failing) {
+            ledgers.all().forEach(SharedObject::onStoreBack);
+        }
+        storeFailing = failing;
+    }
+
     private void divideRates() {
         // Half of the rate is every router's alike, the other half goes to those that commit for others.
         double combined = (double) peers.table().combinedPartitions(LEDGERS) / LEDGERS;
--- a/src/main/java/org/radishspan/front/KindFeed.java
+++ b/src/main/java/org/radishspan/front/KindFeed.java
@@ -54,6 +54,11 @@
     /** A store that was away is noticed to be back within a quarter of a second on average. */
     private static final long MAX_BACKOFF_MILLIS = 500;
 
+    /** What all routers together may repeat of calls of one kind that failed; the first answer is told to the others. */
+    private static final long FLEET_RETRIES_PER_SECOND = 100;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
     /** A router that others tell when the store is back asks by itself only to be sure. */
     private static final long MAX_LISTENER_BACKOFF_MILLIS = 1_600;
 
@@ -107,9 +112,11 @@
         return leading ? Math.min(pace.waitMillis(), usualMillis) : usualMillis;
     }
 
-    /** Returns how long a watch waits at most before it calls a store again that failed. */
+    /** Returns how long a watch waits at most before it calls a store again that failed; half of it on average. */
     long maxBackoffMillis() {
-        return watcher.isEmpty() ? MAX_BACKOFF_MILLIS : MAX_LISTENER_BACKOFF_MILLIS;
+        long aloneMillis = watcher.isEmpty() ? MAX_BACKOFF_MILLIS : MAX_LISTENER_BACKOFF_MILLIS;
+        long routers = 1 + peers.table().rows().size();
+        return Math.max(aloneMillis, 2 * routers * MILLIS_PER_SECOND / FLEET_RETRIES_PER_SECOND);
     }
 
     /** Passes on that the store answers, or gives up a router that no longer does. */
--- a/src/main/java/org/radishspan/store/SharedObject.java
+++ b/src/main/java/org/radishspan/store/SharedObject.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 import io.vavr.control.Either;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -61,13 +62,26 @@
      * @param writes this VM's write rate
      * @param random for the jitter of retries
      * @param commitGapMillis the shortest time between two writes of this VM to the object
+     * @param maxBackoffMillis how long a call that failed is not repeated at most; half of it on average
      */
     public record Ports(
             VersionedObjects store,
             CallBudget reads,
             CallBudget writes,
             UniformRandomProvider random,
-            long commitGapMillis) {}
+            long commitGapMillis,
+            LongSupplier maxBackoffMillis) {
+
+        /** Creates the ports of an object that few VMs call. */
+        public Ports(
+                VersionedObjects store,
+                CallBudget reads,
+                CallBudget writes,
+                UniformRandomProvider random,
+                long commitGapMillis) {
+            this(store, reads, writes, random, commitGapMillis, () -> USUAL_BACKOFF_MILLIS);
+        }
+    }
 
     /** Counts of what the object did. */
     public static final class Counters {
@@ -145,8 +159,11 @@
 
     private static final long FIRST_BACKOFF_MILLIS = 10;
 
-    /** Short against outages, so that a ledger is back soon after the store; rates bound the calls of all routers. */
-    private static final long MAX_BACKOFF_MILLIS = 500;
+    /** Short against outages, so that a ledger is back soon after the store. */
+    private static final long USUAL_BACKOFF_MILLIS = 500;
+
+    /** Spreads what the VMs of a fleet try when they hear that the store is back. */
+    private static final long STORE_BACK_SPREAD_MILLIS = 100;
 
     private final String key;
     private final Codec<S> codec;
@@ -369,8 +386,18 @@
         }
     }
 
+    /** Repeats a call that failed soon, as the store is heard to be back. */
+    public void onStoreBack() {
+        if (unanswered) {
+            backoffMillis = 0;
+            long soonMillis = nowMillis + 1 + ports.random().nextLong(STORE_BACK_SPREAD_MILLIS);
+            notBeforeMillis = Math.min(notBeforeMillis, soonMillis);
+        }
+    }
+
     private void backOff() {
-        backoffMillis = Math.min(MAX_BACKOFF_MILLIS, Math.max(FIRST_BACKOFF_MILLIS, backoffMillis * 2));
+        long maxMillis = ports.maxBackoffMillis().getAsLong();
+        backoffMillis = Math.min(maxMillis, Math.max(FIRST_BACKOFF_MILLIS, backoffMillis * 2));
         notBeforeMillis = nowMillis + 1 + ports.random().nextLong(backoffMillis);
     }
 }
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -217,7 +217,7 @@
             storeCalls.merge(call, 1, Integer::sum);
             if (storeCut) {
                 answer(
-                        nowMicros + waitMillis * MICROS + TIMEOUT_MICROS,
+                        nowMicros + (storeRefuses ? STORE_MICROS : waitMillis * MICROS + TIMEOUT_MICROS),
                         reply,
                         Either.left(Failure.unknown(ErrorKind.PLATFORM_UNAVAILABLE, "the store does not answer")));
             }
@@ -324,6 +324,7 @@
     private final Map<String, Integer> sends = new HashMap<>();
     private final Map<String, Integer> storeCalls = new TreeMap<>();
     private int maxConnections = AMPLE_CONNECTIONS;
+    private boolean storeRefuses;
     private double lostMessages;
     private long served;
     private long revision = 1;
@@ -575,11 +576,18 @@
 
     /** Cuts the first routers from the store, or joins all again. */
     void cutStore(int count) {
+        storeRefuses = false;
         for (Node node : nodes) {
             node.storeCut = node.number < count;
         }
     }
 
+    /** The store turns all calls of the first routers away at once. */
+    void refuseStore(int count) {
+        cutStore(count);
+        storeRefuses = true;
+    }
+
     /** Cuts one router from the store, or joins it again. */
     void cutStoreOf(int vm, boolean cut) {
         nodes.get(vm).storeCut = cut;
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -78,6 +78,12 @@
     public static class ManyRouters {
         private static final double MOST_REFUSED = 0.01;
 
+        /** Within it a configuration is in force, as the settings of the fleet say. */
+        private static final long CONFIG_APPLY_MILLIS = 3_000;
+
+        /** What all routers together may ask of the store: a sixth of the 2,000 reads a second that the users' smaller stores take. */
+        private static final int STORE_CALLS_PER_SECOND = 333;
+
         private static FrontFleet grown() {
             FrontFleet fleet =
                     new FrontFleet(new FrontFleet.Layout(75, 3, 24, 208, DAY_SECONDS * (1 + SLACK), 1_250, 500), 1);
@@ -96,6 +102,28 @@
             assertTrue(outcome.servedFraction() >= 1 - MOST_REFUSED, outcome.toString());
         }
 
+        /** All 95 routers called a store that refuses them more than 1,000 times a second. */
+        @Test
+        public void callAStoreThatRefusesThemNoOftenerThanItBears() {
+            FrontFleet fleet =
+                    new FrontFleet(new FrontFleet.Layout(95, 5, 24, 208, DAY_SECONDS * (1 + SLACK), 1_250, 500), 1);
+            fleet.pass(SETTLE_DOWN_MILLIS);
+            fleet.serve(3_000);
+            fleet.refuseStore(95);
+            fleet.serve(2_000);
+            fleet.takeStoreCalls();
+            fleet.serve(8_000);
+            int calls =
+                    fleet.takeStoreCalls().values().stream().mapToInt(i -> i).sum();
+            assertTrue(calls <= 8 * STORE_CALLS_PER_SECOND, calls + " calls in 8 s");
+            fleet.cutStore(0);
+            fleet.configure(9);
+            fleet.serve(CONFIG_APPLY_MILLIS);
+            assertEquals(fleet.routersBehind(9), List.of(), "all hear of it soon after the store's return");
+            FrontFleet.Outcome outcome = fleet.serve(3_000);
+            assertTrue(outcome.servedFraction() >= 1 - MOST_REFUSED, outcome.toString());
+        }
+
         @Test
         public void serveWhatTheBudgetsAfford() {
             FrontFleet fleet =
