Let listeners repeat calls of the ledger as often as before

Change: the ledger's longest wait is that of the fleet (half a second up to 25 routers), without the listeners' part.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -184,7 +184,7 @@
                         settings.store().fleetWritesPerSecond()),
                 ports.random(),
                 COMMIT_GAP_MILLIS,
-                () -> feed().maxBackoffMillis());
+                () -> feed().fleetBackoffMillis());
         this.ledgers = new LedgerPartitions(LEDGERS, objectPorts);
         this.ledgerReport = new LedgerReport(ledgers, ports.log());
         this.peers = new PeerSystem(
--- a/src/main/java/org/radishspan/front/KindFeed.java
+++ b/src/main/java/org/radishspan/front/KindFeed.java
@@ -114,9 +114,13 @@
 
     /** Returns how long a watch waits at most before it calls a store again that failed; half of it on average. */
     long maxBackoffMillis() {
-        long aloneMillis = watcher.isEmpty() ? MAX_BACKOFF_MILLIS : MAX_LISTENER_BACKOFF_MILLIS;
+        return Math.max(watcher.isEmpty() ? 0 : MAX_LISTENER_BACKOFF_MILLIS, fleetBackoffMillis());
+    }
+
+    /** Returns how long any call of a store that failed waits at most before it is repeated; half of it on average. */
+    long fleetBackoffMillis() {
         long routers = 1 + peers.table().rows().size();
-        return Math.max(aloneMillis, 2 * routers * MILLIS_PER_SECOND / FLEET_RETRIES_PER_SECOND);
+        return Math.max(MAX_BACKOFF_MILLIS, 2 * routers * MILLIS_PER_SECOND / FLEET_RETRIES_PER_SECOND);
     }
 
     /** Passes on that the store answers, or gives up a router that no longer does. */
