Call what targets ask of routers signals

Read once more as a newcomer: TargetWishes and WishReader used a metaphor where the field says signal.

--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -108,7 +108,7 @@
     private final Set<RelayRequest> rows = new LinkedHashSet<>();
     private final Attempt.Outcomes outcomes = new AttemptOutcomes();
     private final CollectedBytes collectedBytes = new CollectedBytes();
-    private final WishReader wishes;
+    private final SignalReader signals;
     private long sweptAtMillis;
 
     /** Creates the system for a router in a failure domain. */
@@ -119,7 +119,7 @@
         this.crashes = new CrashWatch(ports.strikes());
         this.admission = new Admission(crashes, ports.random());
         this.tokens = new TokenMeter(ports.tokens(), ports.log());
-        this.wishes = new WishReader(ports, this::moveUnsent);
+        this.signals = new SignalReader(ports, this::moveUnsent);
     }
 
     /** Returns the requests in progress. */
@@ -434,7 +434,7 @@
         @Override
         public void onHead(Attempt attempt, TargetProtocol.AnswerHead head) {
             head.load().ifPresent(load -> ports.targets().onLoad(attempt.target, load.running(), load.waiting()));
-            wishes.onHead(attempt, head);
+            signals.onHead(attempt, head);
             if (!head.stream()) {
                 ports.metrics().onFirstByte(now() - attempt.row.acceptedAtMillis);
             }
--- a/src/main/java/org/radishspan/relay/WishReader.java
+++ b/src/main/java/org/radishspan/relay/SignalReader.java
@@ -6,7 +6,7 @@
 import org.radishspan.routing.Target;
 
 /** Takes from the heads of answers what targets ask of routers: no new work, a pause, fewer requests a second. */
-final class WishReader {
+final class SignalReader {
     private final RelaySystem.Ports ports;
     private final Consumer<Target> moveUnsent;
 
@@ -15,7 +15,7 @@
      *
      * @param moveUnsent sends requests elsewhere that were placed at a target and have not left this VM
      */
-    WishReader(RelaySystem.Ports ports, Consumer<Target> moveUnsent) {
+    SignalReader(RelaySystem.Ports ports, Consumer<Target> moveUnsent) {
         this.ports = ports;
         this.moveUnsent = moveUnsent;
     }
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -19,7 +19,7 @@
     long reportedAtMillis;
     long nextProbeAtMillis;
     long closedUntilMillis;
-    TargetWishes.Wishes wishes = new TargetWishes.Wishes();
+    TargetSignals.Signals signals = new TargetSignals.Signals();
     int consecutiveFailures;
     int suspects;
     long suspectLostAtMillis = Long.MIN_VALUE / 2;
@@ -62,14 +62,14 @@
 
     /** Returns whether the target has asked for no pause, and its limit leaves room for a request of this router. */
     boolean takesWork(long nowMillis) {
-        RateLimit limit = wishes.rateLimit;
-        return wishes.pausedUntilMillis <= nowMillis && (limit == null || limit.allows(nowMillis));
+        RateLimit limit = signals.rateLimit;
+        return signals.pausedUntilMillis <= nowMillis && (limit == null || limit.allows(nowMillis));
     }
 
     /** Returns how long it takes until the target's pause is over and its limit leaves room for a request. */
     long waitMillis(long nowMillis) {
-        RateLimit limit = wishes.rateLimit;
-        return Math.max(wishes.pausedUntilMillis - nowMillis, limit == null ? 0 : limit.waitMillis(nowMillis));
+        RateLimit limit = signals.rateLimit;
+        return Math.max(signals.pausedUntilMillis - nowMillis, limit == null ? 0 : limit.waitMillis(nowMillis));
     }
 
     /** Returns the failure domain. */
@@ -79,17 +79,17 @@
 
     /** Returns whether the target takes no new work. */
     public boolean leaving() {
-        return leaving || wishes.saidLeaving;
+        return leaving || signals.saidLeaving;
     }
 
     /** Returns whether another router has told that the target is leaving. */
     public boolean heardLeaving() {
-        return wishes.heardLeaving;
+        return signals.heardLeaving;
     }
 
     /** Returns the requests a second that the target takes from all routers together; empty if it named no limit. */
     public OptionalDouble requestsPerSecond() {
-        RateLimit limit = wishes.rateLimit;
+        RateLimit limit = signals.rateLimit;
         return limit == null ? OptionalDouble.empty() : OptionalDouble.of(limit.requestsPerSecond());
     }
 
--- a/src/main/java/org/radishspan/routing/TargetWishes.java
+++ b/src/main/java/org/radishspan/routing/TargetSignals.java
@@ -14,14 +14,14 @@
  * <p>Kept apart from the rows of the {@link TargetTable}, as a row goes and comes back with each lapse of the target's entry,
  * while what an incarnation has asked for holds until it takes it back.
  */
-final class TargetWishes {
+final class TargetSignals {
     /** Incarnations remembered: more than a day's releases of the largest deployment. */
     private static final int MAX_INCARNATIONS = 50_000;
 
     private record Incarnation(String name, long startedAtUnixMillis) {}
 
     /** What one incarnation has asked for; shared with the target's row while there is one. */
-    static final class Wishes {
+    static final class Signals {
         boolean saidLeaving;
         boolean heardLeaving;
         long pausedUntilMillis = Long.MIN_VALUE / 2;
@@ -30,17 +30,17 @@
         RateLimit rateLimit;
     }
 
-    private final Map<Incarnation, Wishes> rows = new LinkedHashMap<>();
+    private final Map<Incarnation, Signals> rows = new LinkedHashMap<>();
 
     /** Returns what an incarnation has asked for so far; a row that is not kept if that is nothing. */
-    Wishes of(String name, long startedAtUnixMillis) {
-        Wishes known = rows.get(new Incarnation(name, startedAtUnixMillis));
-        return known == null ? new Wishes() : known;
+    Signals of(String name, long startedAtUnixMillis) {
+        Signals known = rows.get(new Incarnation(name, startedAtUnixMillis));
+        return known == null ? new Signals() : known;
     }
 
     /** Keeps what an incarnation asks for beyond the life of the target's row. */
-    void keep(String name, long startedAtUnixMillis, Wishes wishes) {
-        rows.putIfAbsent(new Incarnation(name, startedAtUnixMillis), wishes);
+    void keep(String name, long startedAtUnixMillis, Signals signals) {
+        rows.putIfAbsent(new Incarnation(name, startedAtUnixMillis), signals);
         if (rows.size() > MAX_INCARNATIONS) {
             Iterator<Incarnation> oldest = rows.keySet().iterator();
             oldest.next();
@@ -51,9 +51,9 @@
     /** Forgets limits of which nothing was heard for long; returns the names of their targets. */
     List<String> forgetLapsedRateLimits(long nowMillis) {
         List<String> names = new ArrayList<>();
-        rows.forEach((incarnation, wishes) -> {
-            if (wishes.rateLimit != null && wishes.rateLimit.lapsed(nowMillis)) {
-                wishes.rateLimit = null;
+        rows.forEach((incarnation, signals) -> {
+            if (signals.rateLimit != null && signals.rateLimit.lapsed(nowMillis)) {
+                signals.rateLimit = null;
                 names.add(incarnation.name());
             }
         });
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -52,7 +52,7 @@
     private static final long CLOSED_MILLIS = 2_000;
 
     private final Object2ObjectHashMap<String, Target> rows = new Object2ObjectHashMap<>();
-    private final TargetWishes wishes = new TargetWishes();
+    private final TargetSignals signals = new TargetSignals();
     private final RateSenders senders;
     private final Map<String, WorkSpeed> serviceSpeeds = new HashMap<>();
     private final Map<String, Integer> maxConnections = new HashMap<>();
@@ -128,7 +128,7 @@
                     speedOf(Set.of(entry.service())));
             known.slots = Math.max(1, entry.slots());
             known.startedAtUnixMillis = entry.startedAtUnixMillis();
-            known.wishes = wishes.of(entry.id(), entry.startedAtUnixMillis());
+            known.signals = signals.of(entry.id(), entry.startedAtUnixMillis());
             rows.put(entry.id(), known);
         }
         known.leaving = entry.draining();
@@ -141,35 +141,35 @@
      * @return whether that is new
      */
     public boolean onLeavingSaid(Target target) {
-        TargetWishes.Wishes kept = keptWishes(target);
+        TargetSignals.Signals kept = keptSignals(target);
         boolean isNew = !kept.saidLeaving;
         kept.saidLeaving = true;
         return isNew;
     }
 
-    private TargetWishes.Wishes keptWishes(Target target) {
-        wishes.keep(target.name, target.startedAtUnixMillis, target.wishes);
-        return target.wishes;
+    private TargetSignals.Signals keptSignals(Target target) {
+        signals.keep(target.name, target.startedAtUnixMillis, target.signals);
+        return target.signals;
     }
 
-    private TargetWishes.Wishes keptWishes(String name, long startedAtUnixMillis) {
+    private TargetSignals.Signals keptSignals(String name, long startedAtUnixMillis) {
         Target target = rows.get(name);
         if (target != null && target.startedAtUnixMillis == startedAtUnixMillis) {
-            return keptWishes(target);
+            return keptSignals(target);
         }
-        TargetWishes.Wishes known = wishes.of(name, startedAtUnixMillis);
-        wishes.keep(name, startedAtUnixMillis, known);
+        TargetSignals.Signals known = signals.of(name, startedAtUnixMillis);
+        signals.keep(name, startedAtUnixMillis, known);
         return known;
     }
 
     /** Notes that a target said so to another router: it is a last resort from then on. */
     public void onLeavingHeard(String name, long startedAtUnixMillis) {
-        keptWishes(name, startedAtUnixMillis).heardLeaving = true;
+        keptSignals(name, startedAtUnixMillis).heardLeaving = true;
     }
 
     /** Notes that a target, which is sound, wants nothing from this router for some time; a shorter time ends no longer one. */
     public void onPauseAsked(Target target, long pauseMillis, long nowMillis) {
-        TargetWishes.Wishes kept = keptWishes(target);
+        TargetSignals.Signals kept = keptSignals(target);
         kept.pausedUntilMillis = Math.max(kept.pausedUntilMillis, nowMillis + pauseMillis);
     }
 
@@ -181,7 +181,7 @@
      */
     public boolean onRateLimitSaid(
             Target target, OptionalDouble requestsPerSecond, long askedAtMillis, long nowMillis) {
-        RateLimit known = target.wishes.rateLimit;
+        RateLimit known = target.signals.rateLimit;
         if (requestsPerSecond.isEmpty() && (known == null || askedAtMillis < known.namedAtMillis())) {
             return false;
         }
@@ -200,7 +200,7 @@
 
     private boolean noteRateLimit(
             String name, long startedAtUnixMillis, OptionalDouble requestsPerSecond, long nowMillis) {
-        TargetWishes.Wishes kept = keptWishes(name, startedAtUnixMillis);
+        TargetSignals.Signals kept = keptSignals(name, startedAtUnixMillis);
         RateLimit known = kept.rateLimit;
         if (requestsPerSecond.isEmpty()) {
             kept.rateLimit = null;
@@ -215,7 +215,7 @@
 
     /** Forgets limits of which nothing was heard for long; returns the names of the targets, which are tried again. */
     public List<String> forgetLapsedRateLimits(long nowMillis) {
-        return wishes.forgetLapsedRateLimits(nowMillis);
+        return signals.forgetLapsedRateLimits(nowMillis);
     }
 
     /** Forgets a target; requests in progress there go on. */
@@ -371,7 +371,7 @@
 
     /** Counts a dispatch. */
     public void onDispatched(Target target, long nowMillis) {
-        RateLimit limit = target.wishes.rateLimit;
+        RateLimit limit = target.signals.rateLimit;
         if (limit != null) {
             limit.onSent(nowMillis);
         }
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -597,11 +597,11 @@
         }
 
         @DataProvider
-        public Object[][] wishes() {
+        public Object[][] signals() {
             return new Object[][] {{"Server-Leaving", "1"}, {"Retry-After", "2"}, {"Server-Limit", "1"}};
         }
 
-        @Test(dataProvider = "wishes")
+        @Test(dataProvider = "signals")
         public void getNoRequestsWhoseConnectionWasStillBeingMade(String header, String value) {
             RelayHarness harness = new RelayHarness(1);
             harness.call("write");
