Log the parts of prompts at lost requests and the crashes recorded for them

Change: parts in attempt_failed, crash_recorded, crash_reported, a counter. No decision changes. Ruled out: that routers do not learn of each other's crashes while they reach each other. Conclusion: crashes are recorded for whole requests, which never repeat, for the wrong ones, and late.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -553,6 +553,11 @@
         public void onStrike(String fingerprint, String target) {
             quarantineTable.onPeerNotification(
                     fingerprint, target, ports.clockMillis().getAsLong());
+            ports.log()
+                    .belief("crash_reported")
+                    .with("fingerprint", fingerprint)
+                    .with("target", target)
+                    .write();
         }
 
         @Override
--- a/src/main/java/org/radishspan/relay/CrashDetector.java
+++ b/src/main/java/org/radishspan/relay/CrashDetector.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 
 import org.radishspan.error.Failure;
+import org.radishspan.log.EventLog;
 import org.radishspan.request.QuarantineTable;
 import org.radishspan.routing.Target;
 
@@ -27,14 +28,18 @@
 
     private static final int MAX_LOST_CONNECTIONS = 4_096;
 
-    private record LostConnection(String fingerprint, long atMillis) {}
+    private record LostConnection(String requestId, String fingerprint, long atMillis) {}
 
     private final QuarantineTable strikes;
     private final Map<String, List<LostConnection>> byTarget = new HashMap<>();
     private int lostConnections;
+    private final EventLog log;
+    private final RelayMetrics metrics;
 
-    CrashDetector(QuarantineTable strikes) {
+    CrashDetector(QuarantineTable strikes, EventLog log, RelayMetrics metrics) {
         this.strikes = strikes;
+        this.log = log;
+        this.metrics = metrics;
     }
 
     private static String incarnation(Target target) {
@@ -42,12 +47,12 @@
     }
 
     /** Records that the connection of a request to a target was lost; ignored while too many others are recorded. */
-    void onConnectionLost(Target target, String fingerprint, long nowMillis) {
+    void onConnectionLost(Target target, CallerRequest request, long nowMillis) {
         removeExpired(nowMillis);
         if (lostConnections < MAX_LOST_CONNECTIONS) {
             lostConnections++;
             byTarget.computeIfAbsent(incarnation(target), ignored -> new ArrayList<>())
-                    .add(new LostConnection(fingerprint, nowMillis));
+                    .add(new LostConnection(request.requestId(), request.fingerprint(), nowMillis));
         }
     }
 
@@ -64,6 +69,12 @@
         lostConnections -= confirmed.size();
         for (LostConnection lostConnection : confirmed) {
             strikes.strike(lostConnection.fingerprint(), incarnation(target), nowMillis);
+            metrics.onCrashRecorded();
+            log.trouble("crash_recorded", lostConnection.requestId())
+                    .with("fingerprint", lostConnection.fingerprint())
+                    .with("target", incarnation(target))
+                    .with("since_loss_ms", nowMillis - lostConnection.atMillis())
+                    .write();
         }
     }
 
--- a/src/main/java/org/radishspan/relay/RelayMetrics.java
+++ b/src/main/java/org/radishspan/relay/RelayMetrics.java
@@ -33,6 +33,7 @@
     private final Counter callersDisconnected;
     private final Counter abortedStreams;
     private final Counter rateLimitChanges;
+    private final Counter crashRecords;
     private final Timer queueTime;
     private final Timer firstByte;
     private final Timer longestPause;
@@ -55,6 +56,7 @@
         abortedStreams = Counter.builder("radishspan.relay.broken.off").register(registry);
         rateLimitChanges =
                 Counter.builder("radishspan.relay.target.rate.limit.changes").register(registry);
+        crashRecords = Counter.builder("radishspan.relay.crash.records").register(registry);
         queueTime = timer(registry, "queue");
         firstByte = timer(registry, "first_byte");
         longestPause = timer(registry, "pause");
@@ -89,6 +91,11 @@
         rateLimitChanges.increment();
     }
 
+    /** Counts a crash of a target that is recorded for a request. */
+    void onCrashRecorded() {
+        crashRecords.increment();
+    }
+
     void onRepeatedSend() {
         repeatedSends.increment();
     }
--- a/src/main/java/org/radishspan/relay/RelayRequest.java
+++ b/src/main/java/org/radishspan/relay/RelayRequest.java
@@ -111,6 +111,11 @@
         return callerRequest.requestId();
     }
 
+    /** Returns the ids of the parts of the prompt, separated by commas; an empty text if there is no prompt. */
+    String partIds() {
+        return promptShape == null ? "" : String.join(",", promptShape.partIds());
+    }
+
     /** Counts an event that is relayed to the caller, and measures the pause before it. */
     void recordEvent(long nowMillis) {
         if (relayedEvents == 0) {
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -133,7 +133,7 @@
         this.ports = ports;
         this.retryBudget = new RetryBudget(retryBound);
         this.targetPicker = new TargetPicker(ports.targets(), new Placement(ports.random()), failureDomain);
-        this.crashDetector = new CrashDetector(ports.quarantineTable());
+        this.crashDetector = new CrashDetector(ports.quarantineTable(), ports.log(), ports.metrics());
         this.admission = new Admission(crashDetector, ports.random());
         this.tokenMeter = new TokenMeter(ports.tokens(), ports.log());
         this.signalReader = new SignalReader(ports, this::reassignUnsent);
@@ -587,6 +587,7 @@
                     .with("send", attempt.request.sends)
                     .with("events", attempt.receivedEvents)
                     .with("elapsed_ms", now() - attempt.sentAtMillis)
+                    .with("parts", attempt.request.partIds())
                     .write();
         }
 
@@ -615,7 +616,7 @@
                 return;
             }
             if (failureReason == Attempt.FailureReason.BROKEN) {
-                crashDetector.onConnectionLost(attempt.target, request.callerRequest.fingerprint(), now());
+                crashDetector.onConnectionLost(attempt.target, request.callerRequest, now());
                 request.targetsThatMayHaveRun++;
                 resendPossiblyRun(request, detail);
                 return;
