--- a/src/test/java/org/radishspan/front/FleetTargets.java
+++ b/src/test/java/org/radishspan/front/FleetTargets.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -15,6 +17,7 @@
     private final Map<String, List<Long>> arrivalsMillis = new HashMap<>();
     private final Map<String, OptionalDouble> rateLimits = new HashMap<>();
     private final Map<String, Integer> inProgress = new HashMap<>();
+    private final Set<String> crashed = new HashSet<>();
     private int maxInProgress;
 
     /** Returns the name of the request header that holds the name of the target. */
@@ -32,6 +35,15 @@
         maxInProgress = Math.max(maxInProgress, inProgress.merge(target, 1, Integer::sum));
     }
 
+    void onCrash(String target) {
+        crashed.add(target);
+    }
+
+    /** Returns whether a target has crashed. It does not come back under the same name. */
+    boolean isDown(String target) {
+        return crashed.contains(target);
+    }
+
     void onEnd(String target) {
         inProgress.merge(target, -1, Integer::sum);
     }
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -106,6 +107,16 @@
     private static final long SMALL_PROMPT_MEAN_UNIQUE_TOKENS = 630;
     private static final long OUTPUT_TOKENS = 300;
     private static final String TOKENS_HEADER = "x-test-tokens";
+    private static final String PARTS_HEADER = "x-test-parts";
+    private static final String CRASHING_PART = "crashing";
+    private static final int DOCUMENTS = 30;
+    /** A crashed target leaves the list of targets after this time, and is back under another name after the next one. */
+    private static final long CRASH_UNLISTED_MICROS = 2_900 * MICROS_PER_MILLI;
+
+    private static final long CRASH_RESTARTED_MICROS = 3_400 * MICROS_PER_MILLI;
+    /** Time until a target begins to write an answer. */
+    private static final long ANSWER_BEGIN_MICROS = 150 * MICROS_PER_MILLI;
+
     private static final int STORE_WRITES_PER_SECOND = 1_200;
     private static final int STORE_READS_PER_SECOND = 6_000;
 
@@ -337,6 +348,13 @@
     private final Map<String, Long> sentTokens = new HashMap<>();
     private final Map<String, Integer> sendCounts = new HashMap<>();
     private final Map<String, Integer> storeCalls = new TreeMap<>();
+    private final Map<String, List<TargetCall>> targetCalls = new HashMap<>();
+    private final Map<String, String> addresses = new HashMap<>();
+    private final List<Long> crashesMillis = new ArrayList<>();
+    private final List<Long> crashingArrivalsMillis = new ArrayList<>();
+    private final List<Failure> crashingRefusals = new ArrayList<>();
+    private double crashingCallsPerSecond;
+    private double pendingCrashingCalls;
     private int maxConnections = DEFAULT_MAX_CONNECTIONS;
     private boolean storeRefuses;
     private double lostFraction;
@@ -461,33 +479,113 @@
     private HttpTransport.Call sendToTarget(HttpTransport.Request request, HttpTransport.Listener listener) {
         long tokens = Long.parseLong(request.header(TOKENS_HEADER).orElse("0"));
         String target = request.header(FleetTargets.nameHeader()).orElse("");
+        if (targets.isDown(target)) {
+            TargetCall refusedCall = new TargetCall(target, listener);
+            refusedCall.ended = true;
+            scheduleAt(nowMicros + MICROS_PER_MILLI, () -> listener.onFailure("cannot connect", false));
+            return refusedCall;
+        }
         targets.onArrival(target, nowMillis());
         sendCounts.merge(request.header("X-Test-Id").orElse(""), 1, Integer::sum);
         sentTokens.merge(request.header("X-Tenant").orElse(""), tokens, Long::sum);
-        boolean[] cancelled = {false};
-        scheduleAt(nowMicros + TARGET_MICROS, () -> {
-            if (!cancelled[0]) {
-                targets.onEnd(target);
+        TargetCall call = new TargetCall(target, listener);
+        boolean crashes = request.header(PARTS_HEADER).orElse("").contains(CRASHING_PART);
+        if (crashes) {
+            crashingArrivalsMillis.add(nowMillis());
+        }
+        targetCalls.computeIfAbsent(target, ignored -> new ArrayList<>()).add(call);
+        scheduleAt(nowMicros + ANSWER_BEGIN_MICROS, () -> {
+            if (!call.ended && crashes) {
+                crash(target);
+            }
+            if (!call.ended) {
                 listener.onHead(200, name -> targets.answerHeader(target, name));
+            }
+        });
+        scheduleAt(nowMicros + TARGET_MICROS, () -> {
+            if (!call.ended) {
+                call.end();
                 listener.onEnd();
             }
         });
-        return new HttpTransport.Call() {
-            @Override
-            public void cancel() {
-                if (!cancelled[0]) {
-                    cancelled[0] = true;
-                    targets.onEnd(target);
-                }
+        return call;
+    }
+
+    /** A request that is in progress at a target. */
+    private final class TargetCall implements HttpTransport.Call {
+        private final String target;
+        private final HttpTransport.Listener listener;
+        private boolean ended;
+
+        TargetCall(String target, HttpTransport.Listener listener) {
+            this.target = target;
+            this.listener = listener;
+        }
+
+        private void end() {
+            ended = true;
+            targets.onEnd(target);
+            targetCalls.getOrDefault(target, new ArrayList<>()).remove(this);
+        }
+
+        @Override
+        public void cancel() {
+            if (!ended) {
+                end();
             }
+        }
+
+        @Override
+        public void setPaused(boolean paused) {}
+    }
+
+    /** Ends a target: its connections are lost, and it refuses others until it is back as another target. */
+    private void crash(String target) {
+        crashesMillis.add(nowMillis());
+        targets.onCrash(target);
+        for (TargetCall call : List.copyOf(targetCalls.getOrDefault(target, List.of()))) {
+            call.end();
+            call.listener.onFailure("the connection was closed", true);
+        }
+        scheduleAt(
+                nowMicros + CRASH_UNLISTED_MICROS,
+                () -> change(
+                        TargetCodec.KIND, new ObjectKinds.Change(new ObjectKinds.Entry(target, Json.object()), true)));
+        scheduleAt(
+                nowMicros + CRASH_RESTARTED_MICROS,
+                () -> writeTarget(target + "+", Objects.requireNonNull(addresses.get(target)), "ready"));
+    }
 
-            @Override
-            public void setPaused(boolean paused) {}
-        };
+    /** Sets the rate of further calls that crash every target which begins to answer them. No two of them are alike. */
+    void callWithCrashingPart(double callsPerSecond) {
+        crashingCallsPerSecond = callsPerSecond;
+    }
+
+    /** Returns the times of all crashes of targets, in milliseconds. */
+    List<Long> crashesMillis() {
+        return crashesMillis;
+    }
+
+    /** Returns how many requests with the crashing part arrived at targets after a time. */
+    int crashingArrivalsAfter(long millis) {
+        return (int) crashingArrivalsMillis.stream()
+                .filter(arrivedAtMillis -> arrivedAtMillis > millis)
+                .count();
+    }
+
+    /** Returns the failures of the calls with the crashing part. */
+    List<Failure> crashingRefusals() {
+        return crashingRefusals;
     }
 
     /** A simulated caller that counts whether its call was answered or failed. */
     private final class Caller implements CallerExchange {
+        private final List<Failure> failures;
+
+        Caller(List<Failure> failures) {
+            this.failures = failures;
+        }
+
         @Override
         public void respond(int status, List<Map.Entry<String, String>> headers, byte[] body) {
             served++;
@@ -495,7 +593,7 @@
 
         @Override
         public void fail(Failure failure) {
-            refusals.add(failure);
+            failures.add(failure);
         }
 
         @Override
@@ -533,17 +631,27 @@
         return weights.length - 1;
     }
 
-    private void call() {
+    private void call(boolean crashing) {
+        List<Failure> failures = crashing ? crashingRefusals : refusals;
         Node node = nodes.get(random.nextInt(nodes.size()));
         if (node.router == null || !node.router.ready()) {
-            refusals.add(Failure.notRun(ErrorKind.DRAINING, "the router is not ready"));
+            failures.add(Failure.notRun(ErrorKind.DRAINING, "the router is not ready"));
             return;
         }
-        boolean large = random.nextDouble() < LARGE_PROMPT_FRACTION;
+        boolean large = crashing || random.nextDouble() < LARGE_PROMPT_FRACTION;
         long sharedTokens = large ? LARGE_PROMPT_SHARED_TOKENS : SMALL_PROMPT_SHARED_TOKENS;
         long uniqueTokens = Math.round((large ? LARGE_PROMPT_MEAN_UNIQUE_TOKENS : SMALL_PROMPT_MEAN_UNIQUE_TOKENS)
                 * -Math.log(1 - random.nextDouble()));
         requestCount++;
+        List<Prompt.Part> parts = new ArrayList<>();
+        parts.add(new Prompt.Part("s", sharedTokens));
+        if (crashingCallsPerSecond > 0) {
+            parts.add(new Prompt.Part("document-" + random.nextInt(DOCUMENTS), 0));
+        }
+        if (crashing) {
+            parts.add(new Prompt.Part(CRASHING_PART, 0));
+        }
+        parts.add(new Prompt.Part("o" + requestCount, uniqueTokens));
         CallerRequest request = new CallerRequest(
                 "request-" + requestCount,
                 "POST",
@@ -551,18 +659,16 @@
                 "h",
                 List.of(
                         Map.entry(TOKENS_HEADER, Long.toString(sharedTokens + uniqueTokens)),
+                        Map.entry(
+                                PARTS_HEADER,
+                                parts.stream().map(Prompt.Part::id).collect(Collectors.joining(","))),
                         Map.entry("X-Test-Id", "request-" + requestCount)),
-                new byte[0],
+                Long.toString(requestCount).getBytes(UTF_8),
                 Optional.of("k" + drawWorkspace()),
                 OptionalLong.of(6_000),
-                Optional.of(new Prompt(
-                        sharedTokens + uniqueTokens,
-                        OUTPUT_TOKENS,
-                        List.of(
-                                new Prompt.Part("s", sharedTokens),
-                                new Prompt.Part("o" + requestCount, uniqueTokens)))),
+                Optional.of(new Prompt(sharedTokens + uniqueTokens, OUTPUT_TOKENS, List.copyOf(parts))),
                 OptionalLong.empty());
-        node.handle(nowMicros, running -> running.relay().accept(request, new Caller()));
+        node.handle(nowMicros, running -> running.relay().accept(request, new Caller(failures)));
     }
 
     /** Advances the virtual time without new calls. */
@@ -584,7 +690,12 @@
             pendingCalls += layout.callsPerSecond() / 1_000;
             while (pendingCalls >= 1) {
                 pendingCalls--;
-                call();
+                call(false);
+            }
+            pendingCrashingCalls += crashingCallsPerSecond / 1_000;
+            while (pendingCrashingCalls >= 1) {
+                pendingCrashingCalls--;
+                call(true);
             }
             advance(1);
         }
@@ -691,6 +802,7 @@
     }
 
     private void writeTarget(String name, String address, String state) {
+        addresses.put(name, address);
         write(
                 TargetCodec.KIND,
                 name,
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -6,6 +6,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -308,6 +309,101 @@
         }
     }
 
+    /** Requests of which one part of the prompt crashes every target that begins to answer them. */
+    public static class CrashingParts {
+        /** The bounds of the users for these requests, and the fleet's setting to which they refer. */
+        private static final int CRASHES = 5;
+
+        private static final int MAX_ARRIVALS_AFTERWARDS = 3;
+        private static final long UNDISTURBED_MILLIS = 3_000;
+        private static final long CRASHING_MILLIS = 22_000;
+
+        private static FrontFleet fleet(int routers, int targets, double callsPerSecond) {
+            FrontFleet fleet = new FrontFleet(
+                    new FrontFleet.Layout(routers, 3, 10, callsPerSecond, 10 * DAY_SECONDS, 125_000, 200), 1);
+            fleet.addTargets(targets - 1);
+            fleet.advance(STARTUP_MILLIS);
+            fleet.runCalls(4_000);
+            return fleet;
+        }
+
+        /** Returns the time from which on requests with the part may hardly reach targets any more. */
+        private static long refusedFromMillis(FrontFleet fleet) {
+            List<Long> crashes = fleet.crashesMillis();
+            return crashes.size() < CRASHES ? Long.MAX_VALUE : crashes.get(CRASHES - 1) + UNDISTURBED_MILLIS;
+        }
+
+        private static void assertRefusedAfterFiveCrashes(FrontFleet fleet) {
+            int arrivals = fleet.crashingArrivalsAfter(refusedFromMillis(fleet));
+            assertTrue(
+                    arrivals <= MAX_ARRIVALS_AFTERWARDS,
+                    arrivals + " requests arrived afterwards; crashes at " + fleet.crashesMillis());
+        }
+
+        /** Returns routers, targets, calls per second, calls with the part per second, and the fraction of lost messages. */
+        @DataProvider
+        public Object[][] fleets() {
+            return new Object[][] {
+                {6, 13, 50, 1, 0},
+                {6, 13, 50, 1, 1},
+                {6, 13, 50, 12, 0},
+                {6, 13, 50, 12, 1},
+                {7, 6, 28, 0.6, 0},
+                {7, 6, 28, 0.6, 1},
+                {75, 74, 208, 5, 0},
+                {75, 74, 208, 5, 1},
+            };
+        }
+
+        @Test(dataProvider = "fleets", groups = "known-red")
+        public void areRefusedEverywhereAfterFiveCrashes(
+                int routers, int targets, double callsPerSecond, double crashingCallsPerSecond, int lostMessages) {
+            FrontFleet fleet = fleet(routers, targets, callsPerSecond);
+            fleet.loseMessages(lostMessages);
+            fleet.callWithCrashingPart(crashingCallsPerSecond);
+            fleet.runCalls(CRASHING_MILLIS);
+            assertRefusedAfterFiveCrashes(fleet);
+        }
+
+        @Test(groups = "known-red")
+        public void areRefusedByRoutersThatRestart() {
+            FrontFleet fleet = fleet(6, 13, 50);
+            fleet.callWithCrashingPart(1);
+            fleet.runCalls(8_000);
+            for (int router = 0; router < 6; router++) {
+                fleet.kill(router, 300);
+                fleet.runCalls(1_500);
+            }
+            fleet.powerOffAll(POWER_LOSS_MILLIS);
+            fleet.runCalls(CRASHING_MILLIS);
+            assertRefusedAfterFiveCrashes(fleet);
+        }
+
+        @Test(groups = "known-red")
+        public void areRefusedWhileTheStoreIsUnreachable() {
+            FrontFleet fleet = fleet(6, 40, 50);
+            fleet.runCalls(16_000);
+            fleet.setRoutersWithoutStore(6);
+            fleet.callWithCrashingPart(3);
+            fleet.runCalls(8_000);
+            assertRefusedAfterFiveCrashes(fleet);
+        }
+
+        @Test(dataProvider = "fleets")
+        public void doNotTakeSoundRequestsWithThem(
+                int routers, int targets, double callsPerSecond, double crashingCallsPerSecond, int lostMessages) {
+            FrontFleet fleet = fleet(routers, targets, callsPerSecond);
+            fleet.loseMessages(lostMessages);
+            fleet.callWithCrashingPart(crashingCallsPerSecond);
+            fleet.runCalls(CRASHING_MILLIS);
+            assertEquals(
+                    fleet.refusals().stream()
+                            .filter(failure -> failure.kind() == ErrorKind.QUARANTINED)
+                            .count(),
+                    0);
+        }
+    }
+
     /** Routers that restart. */
     public static class Restarts {
         /**
