--- a/src/main/java/org/radishspan/deployment/TargetDirectory.java
+++ b/src/main/java/org/radishspan/deployment/TargetDirectory.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongPredicate;
+import java.util.function.LongSupplier;
 
 import org.radishspan.log.EventLog;
 import org.radishspan.routing.Target;
@@ -23,6 +24,7 @@
     private final TargetTable targets;
     private final LongPredicate storeFailedWithin;
     private final EventLog log;
+    private final LongSupplier clockMillis;
     private final Consumer<Target> onEnded;
     private final Map<String, Boolean> lapsed = new HashMap<>();
     private boolean initialListRead;
@@ -31,12 +33,18 @@
      * Creates the directory.
      *
      * @param storeFailedWithin returns whether a call to the store has failed within the given number of milliseconds
+     * @param clockMillis a monotonic clock in milliseconds
      * @param onEnded receives each target that has been replaced by another incarnation
      */
     public TargetDirectory(
-            TargetTable targets, LongPredicate storeFailedWithin, EventLog log, Consumer<Target> onEnded) {
+            TargetTable targets,
+            LongPredicate storeFailedWithin,
+            LongSupplier clockMillis,
+            EventLog log,
+            Consumer<Target> onEnded) {
         this.targets = targets;
         this.storeFailedWithin = storeFailedWithin;
+        this.clockMillis = clockMillis;
         this.log = log;
         this.onEnded = onEnded;
     }
@@ -46,14 +54,16 @@
         lapsed.remove(name);
         Target known = targets.get(name);
         boolean drainingBefore = known != null && known.leaving();
-        Target registered = targets.register(new TargetEntry(
-                name,
-                entry.service(),
-                entry.address(),
-                entry.failureDomain(),
-                entry.slots(),
-                entry.draining(),
-                entry.startedAtUnixMillis()));
+        Target registered = targets.register(
+                new TargetEntry(
+                        name,
+                        entry.service(),
+                        entry.address(),
+                        entry.failureDomain(),
+                        entry.slots(),
+                        entry.draining(),
+                        entry.startedAtUnixMillis()),
+                clockMillis.getAsLong());
         if (known != null && known.startedAtUnixMillis() != registered.startedAtUnixMillis()) {
             onEnded.accept(known);
         }
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -19,6 +19,7 @@
 import org.radishspan.budget.TokenClient;
 import org.radishspan.budget.TokenKeeper;
 import org.radishspan.deployment.ConfigurationInForce;
+import org.radishspan.deployment.CrashReport;
 import org.radishspan.deployment.DeploymentConfiguration;
 import org.radishspan.deployment.RouterEntry;
 import org.radishspan.deployment.TargetDirectory;
@@ -33,6 +34,7 @@
 import org.radishspan.peer.PeerSystem;
 import org.radishspan.peer.ShareKeepers;
 import org.radishspan.platform.ConfigurationCodec;
+import org.radishspan.platform.CrashCodec;
 import org.radishspan.platform.RouterCodec;
 import org.radishspan.platform.TargetCodec;
 import org.radishspan.proto.LedgerAnswer;
@@ -42,6 +44,7 @@
 import org.radishspan.proto.ReserveTokens;
 import org.radishspan.proto.SettleTokens;
 import org.radishspan.proto.StoreNews;
+import org.radishspan.proto.Strike;
 import org.radishspan.proto.TargetLeaving;
 import org.radishspan.proto.TargetRateLimit;
 import org.radishspan.proto.TokensReserved;
@@ -130,11 +133,15 @@
     /** Wait time of a watch for the list of routers. It may be long because heartbeats also show which routers are running. */
     private static final long ROUTERS_WATCH_MILLIS = 10_000;
 
+    /** Wait time of a watch for crashes of targets, which the other routers also report directly. */
+    private static final long CRASHES_WATCH_MILLIS = 10_000;
+
     /**
-     * How long a starting router waits for the list of routers. Without the list it would hold shares of every budget and
-     * write the ledgers itself, and so would all routers that start at the same moment.
+     * How long a starting router waits for the lists of routers and of crashes. Without the list of routers it would hold
+     * shares of every budget and write the ledgers itself, and so would all routers that start at the same moment. Without
+     * the list of crashes it would send requests to targets that are known to crash them.
      */
-    private static final long ROUTERS_WAIT_MILLIS = 1_000;
+    private static final long LIST_WAIT_MILLIS = 1_000;
 
     /**
      * A router that has not received its first shares reports ready this long after its first configuration, because the
@@ -173,6 +180,8 @@
     private final TokenClient tokenClient;
     private final TokenKeeper tokenKeeper;
     private final QuarantineTable quarantineTable;
+    private final CrashReports crashReports;
+    private final KindWatch<CrashReport> crashWatch;
     private final TargetNotices notices;
     private final RelaySystem relay;
     private final LedgerReport ledgerReport;
@@ -197,13 +206,21 @@
         this.startedAtMillis = ports.clockMillis().getAsLong();
         long watchMillis = Math.max(MIN_WATCH_MILLIS, settings.bounds().undisturbedMillis() - SILENCE_DETECTION_MILLIS);
         this.configuration = new ConfigurationInForce(ConfigurationCodec.NAME, ports.log(), this::onConfiguration);
-        this.configurationWatch =
-                watch(ConfigurationCodec.KIND, ConfigurationCodec::decode, configuration, watchMillis);
+        this.configurationWatch = watch(
+                ConfigurationCodec.KIND,
+                ConfigurationCodec::decode,
+                configuration,
+                () -> feed().waitMillis(watchMillis));
         this.limitDivision = new LimitDivision(self.vm(), () -> routerWatch().hasListed());
         this.targets = new TargetTable(limitDivision);
         this.targetDirectory = new TargetDirectory(
-                targets, this::targetWatchFailedWithin, ports.log(), target -> relay().onTargetEnded(target));
-        this.targetWatch = watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, watchMillis);
+                targets,
+                this::targetWatchFailedWithin,
+                ports.clockMillis(),
+                ports.log(),
+                target -> relay().onTargetEnded(target));
+        this.targetWatch =
+                watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, () -> feed().waitMillis(watchMillis));
         this.objectPorts = new SharedObject.Ports(
                 ports.store(),
                 new CallBudget(
@@ -224,7 +241,7 @@
                 this::requestsInProgress);
         this.notices = new TargetNotices(targets, peers, ports.log());
         this.routers = new RouterDirectory(self, ports.kinds(), ports.log(), this::onRoutersChanged);
-        this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, routers, ROUTERS_WATCH_MILLIS);
+        this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, routers, () -> ROUTERS_WATCH_MILLIS);
         KindFeed.Pace feedPace = KindFeed.Pace.of(settings.bounds());
         this.feed = new KindFeed(peers, feedPace, ports.log());
         feed.add(configurationWatch, feedPace.validityMillis());
@@ -249,6 +266,9 @@
                 (vm, answer) -> peers.sendTo(
                         vm, PeerMessage.newBuilder().setTokensReserved(answer).build()));
         this.quarantineTable = new QuarantineTable(peers::announceStrike, CRASHES_BEFORE_QUARANTINE);
+        this.crashReports = new CrashReports(self.vm(), ports.kinds(), quarantineTable, routers::isListed, ports.log());
+        this.crashWatch = watch(CrashCodec.KIND, CrashCodec::decode, crashReports, () -> CRASHES_WATCH_MILLIS);
+        feed.add(crashWatch, 3 * CRASHES_WATCH_MILLIS);
         VmSettings.Bounds bounds = settings.bounds();
         this.relay = new RelaySystem(
                 new RelaySystem.Ports(
@@ -269,14 +289,11 @@
     }
 
     private <T> KindWatch<T> watch(
-            String kind, Function<JsonNode, Optional<T>> decoder, KindWatch.Listener<T> listener, long waitMillis) {
-        // A watch that waits at least as long as the one for the list of routers keeps its wait time also at the
-        // watcher of the domain.
-        boolean longWait = waitMillis >= ROUTERS_WATCH_MILLIS;
-        KindWatch.Pace pace = new KindWatch.Pace(
-                () -> longWait ? waitMillis : feed().waitMillis(waitMillis),
-                this::watchPauseMillis,
-                () -> feed().maxBackoffMillis());
+            String kind,
+            Function<JsonNode, Optional<T>> decoder,
+            KindWatch.Listener<T> listener,
+            LongSupplier waitMillis) {
+        KindWatch.Pace pace = new KindWatch.Pace(waitMillis, this::watchPauseMillis, () -> feed().maxBackoffMillis());
         return new KindWatch<>(kind, ports.kinds(), decoder, listener, pace, ports.random(), ports.log());
     }
 
@@ -336,7 +353,15 @@
     }
 
     private boolean routersKnown() {
-        return routerWatch.hasListed() || ports.clockMillis().getAsLong() - startedAtMillis >= ROUTERS_WAIT_MILLIS;
+        return routerWatch.hasListed() || listWaitOver();
+    }
+
+    private boolean crashesKnown() {
+        return crashWatch.hasListed() || listWaitOver();
+    }
+
+    private boolean listWaitOver() {
+        return ports.clockMillis().getAsLong() - startedAtMillis >= LIST_WAIT_MILLIS;
     }
 
     /**
@@ -435,6 +460,7 @@
                 && configuration.current().isPresent()
                 && targetWatch.hasListed()
                 && routersKnown()
+                && crashesKnown()
                 && sharesReady();
     }
 
@@ -479,6 +505,11 @@
         targetDirectory.tick();
         routerWatch.tick(nowMillis);
         routers.tick(nowMillis);
+        if (!targetWatch.lastCallFailed()) {
+            // A store that fails is retried by the other watches only.
+            crashWatch.tick(nowMillis);
+            crashReports.tick(nowMillis);
+        }
         peers.setStoreUnreachable(storeUnreachable());
         peers.tick(nowMillis);
         keepers.tick(nowMillis);
@@ -550,16 +581,27 @@
         }
 
         @Override
-        public void onStrike(String fingerprint, String target) {
+        public void onStrike(Strike strike) {
             quarantineTable.onPeerNotification(
-                    fingerprint, target, ports.clockMillis().getAsLong());
+                    strike.getFingerprint(),
+                    strike.getTarget(),
+                    strike.getAgeMillis(),
+                    ports.clockMillis().getAsLong());
             ports.log()
                     .belief("crash_reported")
-                    .with("fingerprint", fingerprint)
-                    .with("target", target)
+                    .with("fingerprint", strike.getFingerprint())
+                    .with("target", strike.getTarget())
+                    .with("age_ms", strike.getAgeMillis())
                     .write();
         }
 
+        @Override
+        public void onConnected(String vm) {
+            quarantineTable.sendAll(
+                    (fingerprint, target, ageMillis) -> peers.sendStrike(vm, fingerprint, target, ageMillis),
+                    ports.clockMillis().getAsLong());
+        }
+
         @Override
         public void onPromptSent(PromptSent prompt) {
             notices.onPromptSent(prompt, ports.clockMillis().getAsLong());
--- a/src/main/java/org/radishspan/front/KindFeed.java
+++ b/src/main/java/org/radishspan/front/KindFeed.java
@@ -184,6 +184,7 @@
         boolean silent = !watcher.isEmpty() && nowMillis - watcherUpdateAtMillis >= pace.validityMillis();
         if (silent && !watcherReportedSilent) {
             watcherReportedSilent = true;
+            watches.values().forEach(KindWatch::endCoverage);
             peers.onRequestTimeout(watcher);
             log.belief("store_watcher_silent")
                     .with("vm", watcher)
--- a/src/main/java/org/radishspan/front/RouterDirectory.java
+++ b/src/main/java/org/radishspan/front/RouterDirectory.java
@@ -49,6 +49,10 @@
         return routers.size();
     }
 
+    boolean isListed(String vm) {
+        return routers.containsKey(vm);
+    }
+
     /** Reports a changed list, and registers this router unless the store has accepted its entry or it was withdrawn. */
     void tick(long tickMillis) {
         nowMillis = tickMillis;
--- a/src/main/java/org/radishspan/http/HttpClient.java
+++ b/src/main/java/org/radishspan/http/HttpClient.java
@@ -1,11 +1,13 @@
 package org.radishspan.http;
 
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -15,6 +17,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -88,8 +91,23 @@
         return exchange;
     }
 
-    private void connect(Request request, Exchange exchange) {
-        ChannelFuture connecting = new Bootstrap()
+    @Override
+    public void test(String host, int port, Consumer<ConnectionTest> reply) {
+        ChannelFuture connecting = open(host, port);
+        connecting.addListener(future -> {
+            if (future.isSuccess()) {
+                releaseIdle(address(host, port), connecting.channel(), MAX_IDLE_NANOS);
+                reply.accept(ConnectionTest.ACCEPTED);
+                return;
+            }
+            boolean refused =
+                    future.cause() instanceof ConnectException && !(future.cause() instanceof ConnectTimeoutException);
+            reply.accept(refused ? ConnectionTest.REFUSED : ConnectionTest.UNKNOWN);
+        });
+    }
+
+    private ChannelFuture open(String host, int port) {
+        return new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
@@ -100,7 +118,11 @@
                         channel.pipeline().addLast(new ResponseHandler());
                     }
                 })
-                .connect(request.host(), request.port());
+                .connect(host, port);
+    }
+
+    private void connect(Request request, Exchange exchange) {
+        ChannelFuture connecting = open(request.host(), request.port());
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
                 exchange.fail("cannot connect to " + address(request));
@@ -115,7 +137,11 @@
     }
 
     private static String address(Request request) {
-        return request.host() + ":" + request.port();
+        return address(request.host(), request.port());
+    }
+
+    private static String address(String host, int port) {
+        return host + ":" + port;
     }
 
     private @Nullable Channel acquireIdle(String address) {
--- a/src/main/java/org/radishspan/http/HttpTransport.java
+++ b/src/main/java/org/radishspan/http/HttpTransport.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
 
@@ -124,6 +125,21 @@
         void setPaused(boolean paused);
     }
 
+    /** What a test of a connection showed. */
+    enum ConnectionTest {
+        /** The server accepts connections. */
+        ACCEPTED,
+        /** The server's host refuses connections, because no process listens at the port. */
+        REFUSED,
+        /** Neither is known, because the test failed or was not made. */
+        UNKNOWN
+    }
+
     /** Sends a request. Must be called on the event loop. */
     Call send(Request request, Listener listener);
+
+    /** Tests whether a server accepts connections, by opening one; transports that cannot do that answer {@code UNKNOWN}. */
+    default void test(String host, int port, Consumer<ConnectionTest> reply) {
+        reply.accept(ConnectionTest.UNKNOWN);
+    }
 }
--- a/src/main/java/org/radishspan/http/NotifyingTransport.java
+++ b/src/main/java/org/radishspan/http/NotifyingTransport.java
@@ -1,5 +1,7 @@
 package org.radishspan.http;
 
+import java.util.function.Consumer;
+
 /**
  * A transport that runs an action after the head, the end and the failure of each response. Routers use it to handle the
  * resulting changes at once instead of at their next periodic tick.
@@ -19,6 +21,14 @@
         return transport.send(request, new NotifyingListener(listener));
     }
 
+    @Override
+    public void test(String host, int port, Consumer<ConnectionTest> reply) {
+        transport.test(host, port, result -> {
+            reply.accept(result);
+            action.run();
+        });
+    }
+
     private final class NotifyingListener implements Listener {
         private final Listener listener;
 
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -67,7 +67,10 @@
         /**
          * Handles a report that a request crashed a target; if {@code target} is empty, that the request may run again.
          */
-        void onStrike(String fingerprint, String target);
+        void onStrike(Strike strike);
+
+        /** Handles a connection that a peer has opened; the peer may have missed earlier messages. */
+        default void onConnected(String vm) {}
 
         /** Handles a report that a peer sent a prompt to a target. */
         default void onPromptSent(PromptSent prompt) {}
@@ -233,10 +236,7 @@
             case LEDGER_ANSWER -> handlers.onLedgerAnswer(message.getLedgerAnswer());
             case LEDGER_NOTICE ->
                 handlers.onLedgerNotice(message.getLedgerNotice().getPartition());
-            case STRIKE ->
-                handlers.onStrike(
-                        message.getStrike().getFingerprint(),
-                        message.getStrike().getTarget());
+            case STRIKE -> handlers.onStrike(message.getStrike());
             case PROMPT_SENT -> handlers.onPromptSent(message.getPromptSent());
             case STORE_NEWS -> handlers.onStoreNews(vm, message.getStoreNews());
             case TARGET_LEAVING -> handlers.onTargetLeaving(message.getTargetLeaving());
@@ -255,6 +255,7 @@
         }
         peer.failureDomain = hello.getFailureDomain();
         peer.draining = hello.getDraining();
+        handlers.onConnected(peer.vm);
     }
 
     /** Records which process runs on a VM; returns false for a late message of a process that has ended. */
@@ -354,12 +355,25 @@
     /**
      * Reports to every peer that a request crashed a target; if {@code target} is empty, that the request may run
      * again.
+     *
+     * @param ageMillis the time since the crash, in milliseconds
      */
-    public void announceStrike(String fingerprint, String target) {
-        PeerMessage message = PeerMessage.newBuilder()
-                .setStrike(Strike.newBuilder().setFingerprint(fingerprint).setTarget(target))
+    public void announceStrike(String fingerprint, String target, long ageMillis) {
+        sendToAll(strike(fingerprint, target, ageMillis));
+    }
+
+    /** Sends a report that a request crashed a target to one peer. */
+    public void sendStrike(String vm, String fingerprint, String target, long ageMillis) {
+        sendTo(vm, strike(fingerprint, target, ageMillis));
+    }
+
+    private static PeerMessage strike(String fingerprint, String target, long ageMillis) {
+        return PeerMessage.newBuilder()
+                .setStrike(Strike.newBuilder()
+                        .setFingerprint(fingerprint)
+                        .setTarget(target)
+                        .setAgeMillis(ageMillis))
                 .build();
-        sendToAll(message);
     }
 
     /** Reports to every peer that this router sent a prompt to a target. */
--- a/src/main/java/org/radishspan/relay/Admission.java
+++ b/src/main/java/org/radishspan/relay/Admission.java
@@ -50,11 +50,11 @@
         if (request.requestId().isEmpty()) {
             return refused(ErrorKind.INVALID_REQUEST, "the request has no id");
         }
-        Optional<Failure> quarantine = crashDetector.refusal(request, nowMillis);
+        String service = route.get().serviceFor(random.nextDouble());
+        Optional<Failure> quarantine = crashDetector.refusal(request, service, nowMillis);
         if (quarantine.isPresent()) {
             return Either.left(quarantine.get());
         }
-        String service = route.get().serviceFor(random.nextDouble());
         return Either.right(new RelayRequest.Terms(
                 route.get(),
                 service,
--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -144,6 +144,13 @@
         return ended;
     }
 
+    /** Returns whether the target has begun to write the answer: the first event of a stream, or the head of another answer. */
+    boolean answerBegan() {
+        TargetProtocol.AnswerHead answerHead = head;
+        return receivedEvents > 0
+                || (answerHead != null && answerHead.success() && answerHead.signed() && !answerHead.stream());
+    }
+
     /**
      * Returns whether enough time is left until the caller's deadline, which may pass while the connection is being
      * established. If not, nothing is sent, and the relay ends the attempt at the deadline.
--- a/src/main/java/org/radishspan/relay/CallerRequest.java
+++ b/src/main/java/org/radishspan/relay/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.radishspan.relay;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -7,6 +8,7 @@
 import java.util.OptionalLong;
 
 import org.apache.commons.codec.digest.MurmurHash3;
+import org.radishspan.request.Fingerprint;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -43,6 +45,29 @@
         return query < 0 ? uri : uri.substring(0, query);
     }
 
+    /**
+     * Returns the fingerprints by which crashes are recorded: of the whole request, and of the parts of its prompt that other
+     * requests may share.
+     *
+     * @param service the service that serves the request
+     */
+    List<String> fingerprints(String service) {
+        List<String> fingerprints = new ArrayList<>();
+        fingerprints.add(fingerprint());
+        fingerprints.addAll(partFingerprints(service));
+        return fingerprints;
+    }
+
+    /** Returns the fingerprints of the parts of the prompt. The last part belongs to the request or its session alone. */
+    List<String> partFingerprints(String service) {
+        List<Prompt.Part> parts = prompt.map(Prompt::parts).orElse(List.of());
+        List<String> fingerprints = new ArrayList<>();
+        for (Prompt.Part part : parts.subList(0, Math.max(0, parts.size() - 1))) {
+            fingerprints.add(Fingerprint.ofPart(service, part.id()));
+        }
+        return fingerprints;
+    }
+
     /** Returns a hash that is equal for equal requests of the same caller: it covers the key, method, URI and body. */
     public String fingerprint() {
         byte[] prefix = (callerKey.orElse("") + " " + method + " " + uri + "\n").getBytes(UTF_8);
--- a/src/main/java/org/radishspan/relay/CrashDetector.java
+++ b/src/main/java/org/radishspan/relay/CrashDetector.java
@@ -1,43 +1,51 @@
 package org.radishspan.relay;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.radishspan.error.Failure;
+import org.radishspan.http.HttpTransport;
 import org.radishspan.log.EventLog;
+import org.radishspan.request.Fingerprint;
 import org.radishspan.request.QuarantineTable;
 import org.radishspan.routing.Target;
 
 /**
  * Detects requests that crash targets.
  *
- * <p>A lost connection alone is no evidence of a crash, because targets that continue to run also lose answers and reset
- * connections. A request whose connection was lost gets a strike once its target is known to have terminated, which is the
- * case when the target accepts no connections or has started again.
+ * <p>A target that crashes does so before it has begun to answer the request that is the cause. A lost connection alone is no
+ * evidence of a crash, because targets that continue to run also lose answers and reset connections. So a crash is recorded for
+ * a request if its connection was lost before any part of the answer, and its target is known to have terminated: it refuses
+ * connections, which is tested at once, or has started again.
  */
 final class CrashDetector {
-    /**
-     * How long a lost connection can still lead to a strike. A crash is confirmed only after some failed connections to the
-     * target, or when the target has started again.
-     */
+    /** How long a lost connection can still lead to a record, if the target was not found terminated at once. */
     private static final long CONFIRM_MILLIS = 10_000;
 
+    /** Targets that end within this time of each other may have failed together, as with their host or network. */
+    private static final long SAME_FAILURE_MILLIS = 250;
+
     private static final int MAX_LOST_CONNECTIONS = 4_096;
 
-    private record LostConnection(String requestId, String fingerprint, long atMillis) {}
+    private record LostConnection(String requestId, String service, List<String> fingerprints, long atMillis) {}
 
-    private final QuarantineTable strikes;
-    private final Map<String, List<LostConnection>> byTarget = new HashMap<>();
-    private int lostConnections;
+    private final QuarantineTable crashes;
     private final EventLog log;
     private final RelayMetrics metrics;
+    private final Map<String, List<LostConnection>> byTarget = new HashMap<>();
+    private final Map<String, Long> answerBeganAtMillis = new HashMap<>();
+    private final Set<String> tested = new HashSet<>();
+    private int lostConnections;
 
-    CrashDetector(QuarantineTable strikes, EventLog log, RelayMetrics metrics) {
-        this.strikes = strikes;
+    CrashDetector(QuarantineTable crashes, EventLog log, RelayMetrics metrics) {
+        this.crashes = crashes;
         this.log = log;
         this.metrics = metrics;
     }
@@ -46,19 +54,38 @@
         return target.name() + "@" + target.startedAtUnixMillis();
     }
 
-    /** Records that the connection of a request to a target was lost; ignored while too many others are recorded. */
-    void onConnectionLost(Target target, CallerRequest request, long nowMillis) {
+    /**
+     * Records that the connection of a request was lost before its target had begun to answer; ignored while too many others
+     * are recorded.
+     */
+    void onConnectionLost(Target target, RelayRequest request, long nowMillis) {
         removeExpired(nowMillis);
         if (lostConnections < MAX_LOST_CONNECTIONS) {
             lostConnections++;
             byTarget.computeIfAbsent(incarnation(target), ignored -> new ArrayList<>())
-                    .add(new LostConnection(request.requestId(), request.fingerprint(), nowMillis));
+                    .add(new LostConnection(request.id(), request.service, request.fingerprints(), nowMillis));
         }
     }
 
+    /** Tests whether a target refuses connections, unless such a test is in progress; calls {@code onRefused} if it does. */
+    void testConnection(Target target, HttpTransport transport, Runnable onRefused) {
+        String incarnation = incarnation(target);
+        if (!tested.add(incarnation)) {
+            return;
+        }
+        transport.test(target.host(), target.port(), result -> {
+            tested.remove(incarnation);
+            if (result == HttpTransport.ConnectionTest.REFUSED) {
+                onRefused.run();
+            }
+        });
+    }
+
     /**
-     * Records that a target accepts no connections or was replaced by another incarnation. Requests whose connections to it
-     * were lost get a strike.
+     * Records that a target has terminated. A crash is recorded for the requests whose connections to it were lost.
+     *
+     * <p>For a part of a prompt, which other requests share, a further crash is recorded only if it is no consequence of what
+     * caused the previous one. Targets that fail together, or crash each time that they start, are no evidence against a part.
      */
     void onTargetEnded(Target target, long nowMillis) {
         removeExpired(nowMillis);
@@ -68,16 +95,41 @@
         }
         lostConnections -= confirmed.size();
         for (LostConnection lostConnection : confirmed) {
-            strikes.strike(lostConnection.fingerprint(), incarnation(target), nowMillis);
+            for (String fingerprint : lostConnection.fingerprints()) {
+                if (!Fingerprint.isPart(fingerprint) || isFurtherEvidence(target, lostConnection, fingerprint)) {
+                    crashes.strike(fingerprint, incarnation(target), lostConnection.atMillis(), nowMillis);
+                }
+            }
             metrics.onCrashRecorded();
             log.trouble("crash_recorded", lostConnection.requestId())
-                    .with("fingerprint", lostConnection.fingerprint())
+                    .with("fingerprints", String.join(",", lostConnection.fingerprints()))
                     .with("target", incarnation(target))
                     .with("since_loss_ms", nowMillis - lostConnection.atMillis())
                     .write();
         }
     }
 
+    /**
+     * Returns whether a crash is independent of the previous one recorded for a fingerprint: targets of the service have begun
+     * answers in between, or the target was already running then and kept running for a while.
+     */
+    private boolean isFurtherEvidence(Target target, LostConnection lostConnection, String fingerprint) {
+        long previousMillis = crashes.lastCrashAtMillis(fingerprint);
+        if (previousMillis == Long.MIN_VALUE) {
+            return true;
+        }
+        long answerBeganMillis = answerBeganAtMillis.getOrDefault(lostConnection.service(), Long.MIN_VALUE);
+        boolean outlivedPrevious = target.registeredAtMillis() < previousMillis
+                && lostConnection.atMillis() - previousMillis >= SAME_FAILURE_MILLIS;
+        return answerBeganMillis > previousMillis || outlivedPrevious;
+    }
+
+    /** Records that a target has begun to answer a request, which therefore does not crash targets. */
+    void onAnswerBegan(RelayRequest request, long nowMillis) {
+        answerBeganAtMillis.put(request.service, nowMillis);
+        crashes.onAnswerBegan(crashes.isEmpty() ? request.partFingerprints() : request.fingerprints(), nowMillis);
+    }
+
     private void removeExpired(long nowMillis) {
         Iterator<List<LostConnection>> lists = byTarget.values().iterator();
         while (lists.hasNext()) {
@@ -91,9 +143,23 @@
         }
     }
 
-    /** Returns the failure of a request that is refused because it crashed several targets; empty if it may run. */
-    Optional<Failure> refusal(CallerRequest request, long nowMillis) {
-        // Computing the fingerprint hashes the whole body, so it is skipped while there are no strikes.
-        return strikes.isEmpty() ? Optional.empty() : strikes.refusal(request.fingerprint(), Failure.Ran.NO, nowMillis);
+    /** Returns the failure of a request that is refused because such requests crashed several targets. */
+    Optional<Failure> refusal(CallerRequest request, String service, long nowMillis) {
+        // Computing the fingerprint hashes the whole body, so it is skipped while nothing is refused.
+        return crashes.refusesAny() ? refusal(request.fingerprints(service), nowMillis) : Optional.empty();
+    }
+
+    /** Returns the failure of a request that is refused because such requests crashed several targets. */
+    Optional<Failure> refusal(RelayRequest request, long nowMillis) {
+        return crashes.refusesAny() ? refusal(request.fingerprints(), nowMillis) : Optional.empty();
+    }
+
+    private Optional<Failure> refusal(Collection<String> fingerprints, long nowMillis) {
+        return crashes.refusal(fingerprints, Failure.Ran.NO, nowMillis);
+    }
+
+    /** Returns a number that changes with each change of the records. */
+    int changes() {
+        return crashes.changes();
     }
 }
--- a/src/main/java/org/radishspan/relay/RelayRequest.java
+++ b/src/main/java/org/radishspan/relay/RelayRequest.java
@@ -1,6 +1,7 @@
 package org.radishspan.relay;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -56,6 +57,8 @@
     OptionalLong lastEventId;
     final Set<String> triedTargets = new HashSet<>();
 
+    private @Nullable List<String> fingerprints;
+
     /** The head of the stream, which is relayed with the first event. */
     TargetProtocol.@Nullable AnswerHead streamHead;
 
@@ -111,6 +114,21 @@
         return callerRequest.requestId();
     }
 
+    /** Returns the fingerprints by which crashes of targets are recorded for the request. */
+    List<String> fingerprints() {
+        List<String> known = fingerprints;
+        if (known == null) {
+            known = callerRequest.fingerprints(service);
+            fingerprints = known;
+        }
+        return known;
+    }
+
+    /** Returns the fingerprints of the parts of the prompt, without that of the whole request. */
+    List<String> partFingerprints() {
+        return callerRequest.partFingerprints(service);
+    }
+
     /** Returns the ids of the parts of the prompt, separated by commas; an empty text if there is no prompt. */
     String partIds() {
         return promptShape == null ? "" : String.join(",", promptShape.partIds());
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -127,6 +127,7 @@
     private final AnswerBufferLimit answerBufferLimit = new AnswerBufferLimit();
     private final SignalReader signalReader;
     private long checkedAtMillis;
+    private int checkedCrashes;
 
     /** Creates the relay of a router in a failure domain; repeated sends are limited by {@code retryBound}. */
     public RelaySystem(Ports ports, String failureDomain, RetryBudget.Bound retryBound) {
@@ -149,6 +150,11 @@
         crashDetector.onTargetEnded(target, now());
     }
 
+    private void onConnectionRefused(Target target) {
+        ports.targets().onUnreachable(target, now());
+        onTargetEnded(target);
+    }
+
     /** Refuses all requests that arrive from now on; requests in progress continue. */
     public void refuseNew() {
         admission.refuseNew();
@@ -231,6 +237,9 @@
             expire(request);
             return;
         }
+        if (failIfQuarantined(request)) {
+            return;
+        }
         Either<Failure, Placement.Choice> choice = targetPicker.pick(request, nowMillis);
         if (choice.isLeft()) {
             fail(request, choice.getLeft());
@@ -239,6 +248,22 @@
         send(request, choice.get());
     }
 
+    /** Fails a request that is refused because such requests crash targets; returns whether it is. */
+    private boolean failIfQuarantined(RelayRequest request) {
+        // A request of which events were relayed has not crashed its target before.
+        Optional<Failure> refusal =
+                request.relayedEvents > 0 ? Optional.empty() : crashDetector.refusal(request, now());
+        refusal.ifPresent(failure -> {
+            endAttempt(request);
+            fail(
+                    request,
+                    request.targetsThatMayHaveRun == 0
+                            ? failure
+                            : Failure.unknown(ErrorKind.TARGET_FAILED, failure.message()));
+        });
+        return refusal.isPresent();
+    }
+
     private void send(RelayRequest request, Placement.Choice choice) {
         long nowMillis = now();
         Target target = choice.target();
@@ -409,6 +434,7 @@
             return;
         }
         checkedAtMillis = nowMillis;
+        failQuarantined();
         for (RelayRequest request : List.copyOf(requests)) {
             if (nowMillis >= request.deadlineAtMillis) {
                 expire(request);
@@ -423,6 +449,20 @@
         }
     }
 
+    /** Fails the requests in progress that have been quarantined meanwhile, before they crash the targets they were sent to. */
+    private void failQuarantined() {
+        if (crashDetector.changes() == checkedCrashes) {
+            return;
+        }
+        checkedCrashes = crashDetector.changes();
+        for (RelayRequest request : List.copyOf(requests)) {
+            Attempt attempt = request.attempt;
+            if (attempt != null && !attempt.answerBegan()) {
+                failIfQuarantined(request);
+            }
+        }
+    }
+
     private static boolean isSilent(Attempt attempt, long nowMillis) {
         Route route = attempt.request.route;
         boolean stream = route.kind() == RouteKind.STREAM;
@@ -468,6 +508,9 @@
         public void onHead(Attempt attempt, TargetProtocol.AnswerHead head) {
             head.load().ifPresent(load -> ports.targets().onLoad(attempt.target, load.running(), load.waiting()));
             signalReader.onHead(attempt, head);
+            if (attempt.answerBegan()) {
+                crashDetector.onAnswerBegan(attempt.request, now());
+            }
             if (!head.stream()) {
                 ports.metrics().onFirstByte(now() - attempt.request.acceptedAtMillis);
             }
@@ -495,6 +538,7 @@
             if (attempt.receivedEvents == 1) {
                 clearPendingPrompt(attempt);
                 attempt.pendingFirstEvent.end();
+                crashDetector.onAnswerBegan(request, now());
                 ports.targets().onFirstEvent(attempt.target, attempt.unreadTokens, now() - attempt.sentAtMillis, now());
                 if (request.relayedEvents == 0) {
                     ports.metrics().onFirstByte(now() - request.acceptedAtMillis);
@@ -616,7 +660,11 @@
                 return;
             }
             if (failureReason == Attempt.FailureReason.BROKEN) {
-                crashDetector.onConnectionLost(attempt.target, request.callerRequest, now());
+                if (!attempt.answerBegan() && request.relayedEvents == 0) {
+                    crashDetector.onConnectionLost(attempt.target, request, now());
+                    crashDetector.testConnection(
+                            attempt.target, ports.transport(), () -> onConnectionRefused(attempt.target));
+                }
                 request.targetsThatMayHaveRun++;
                 resendPossiblyRun(request, detail);
                 return;
--- /dev/null
+++ b/src/main/java/org/radishspan/request/CrashCauses.java
@@ -0,0 +1,108 @@
+package org.radishspan.request;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Decides which requests are refused because they crash targets, from the crashes recorded for their fingerprints.
+ *
+ * <p>The decision refuses as few requests as the records allow. Parts with the same crashes cannot be told apart, so only
+ * requests with all of them are refused. Crashes that one cause explains do not count against another fingerprint. The decision
+ * does not depend on the load.
+ */
+final class CrashCauses {
+
+    /**
+     * A cause of crashes.
+     *
+     * @param fingerprints a request that has all of these fingerprints crashes targets
+     * @param targets the targets that such requests crashed
+     */
+    record Cause(Set<String> fingerprints, Set<String> targets) {}
+
+    /**
+     * The number of crashes that are sufficient evidence.
+     *
+     * @param ofRequest crashes by one request and its repetitions
+     * @param ofPart crashes by several requests that share a part
+     */
+    record MinCrashes(int ofRequest, int ofPart) {}
+
+    private CrashCauses() {}
+
+    /**
+     * Returns the causes that explain the recorded crashes.
+     *
+     * @param targetsByFingerprint the targets that crashed while they had a request with the fingerprint
+     */
+    static List<Cause> of(Map<String, Set<String>> targetsByFingerprint, MinCrashes minCrashes) {
+        Set<String> explained = new HashSet<>();
+        List<Cause> causes = new ArrayList<>();
+        List<Cause> candidates = partCandidates(targetsByFingerprint);
+        for (Cause candidate : candidates) {
+            Set<String> unexplained = without(candidate.targets(), explained);
+            if (unexplained.size() >= minCrashes.ofPart()
+                    && !hasEqualRival(candidate, unexplained, candidates, explained)) {
+                causes.add(candidate);
+                explained.addAll(candidate.targets());
+            }
+        }
+        targetsByFingerprint.forEach((fingerprint, targets) -> {
+            if (!Fingerprint.isPart(fingerprint) && without(targets, explained).size() >= minCrashes.ofRequest()) {
+                causes.add(new Cause(Set.of(fingerprint), targets));
+            }
+        });
+        return causes;
+    }
+
+    /**
+     * Groups the parts that have the same crashes, most crashes first. Parts whose crashes can all be attributed to a single
+     * request and its repetitions are left out, because nothing shows that other requests with them crash targets.
+     */
+    private static List<Cause> partCandidates(Map<String, Set<String>> targetsByFingerprint) {
+        Map<Set<String>, Set<String>> groups = new LinkedHashMap<>();
+        targetsByFingerprint.forEach((fingerprint, targets) -> {
+            if (Fingerprint.isPart(fingerprint)) {
+                groups.computeIfAbsent(targets, ignored -> new TreeSet<>()).add(fingerprint);
+            }
+        });
+        List<Cause> candidates = new ArrayList<>();
+        groups.forEach((targets, parts) -> {
+            boolean ofOneRequest = targetsByFingerprint.entrySet().stream()
+                    .anyMatch(entry -> !Fingerprint.isPart(entry.getKey())
+                            && entry.getValue().containsAll(targets));
+            if (!ofOneRequest) {
+                candidates.add(new Cause(parts, targets));
+            }
+        });
+        candidates.sort(
+                Comparator.comparingInt((Cause cause) -> -cause.targets().size()));
+        return candidates;
+    }
+
+    /** Returns whether another candidate explains as many crashes and some of the same ones, so that more are needed. */
+    private static boolean hasEqualRival(
+            Cause candidate, Set<String> unexplained, List<Cause> candidates, Set<String> explained) {
+        for (Cause other : candidates) {
+            Set<String> ofOther = without(other.targets(), explained);
+            if (!other.equals(candidate)
+                    && ofOther.size() == unexplained.size()
+                    && ofOther.stream().anyMatch(unexplained::contains)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static Set<String> without(Set<String> targets, Set<String> explained) {
+        Set<String> rest = new HashSet<>(targets);
+        rest.removeAll(explained);
+        return rest;
+    }
+}
--- a/src/main/java/org/radishspan/request/QuarantineTable.java
+++ b/src/main/java/org/radishspan/request/QuarantineTable.java
@@ -1,41 +1,47 @@
 package org.radishspan.request;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 import com.google.common.flogger.FluentLogger;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 
 /**
- * Records which requests crashed targets, by request fingerprint, and quarantines repeat offenders.
+ * Records which requests crashed targets, by fingerprint, and quarantines what caused several crashes.
  *
- * <p>Once a request has crashed the configured number of targets, every router refuses it for
- * {@value #QUARANTINE_MILLIS} ms, so that a caller that keeps sending it cannot crash one target after the other. When
- * a target crashes, every request on it gets a strike, because any of them may be the cause. A request with a strike is
- * a suspect: it is sent only to a target that runs no other suspect of this router. If that target crashes as well,
- * only the suspect gets a strike. A complete response removes all strikes of a request.
+ * <p>A request has the fingerprint of the whole request, and one for each part of its prompt that other requests may share.
+ * {@link CrashCauses} decides what is refused, by every router, for {@value #QUARANTINE_MILLIS} ms after the last crash, so
+ * that a caller that keeps sending such requests cannot crash one target after the other. Once a target has begun to answer a
+ * request, all records of its fingerprints are removed.
  */
 public final class QuarantineTable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Notifies the other routers of a strike or of the removal of all strikes of a request. */
+    /** Notifies the other routers of a crash, or of the removal of all records of a fingerprint. */
     @FunctionalInterface
     public interface Notifier {
-        /** Sends the notification; an empty {@code target} means that the strikes were removed. */
-        void send(String fingerprint, String target);
+        /**
+         * Sends the notification.
+         *
+         * @param target the target that crashed; empty if the records are removed
+         * @param ageMillis the time since the crash, in milliseconds
+         */
+        void send(String fingerprint, String target, long ageMillis);
     }
 
     /**
-     * A quarantined request.
+     * A quarantined fingerprint.
      *
-     * @param fingerprint the hash of workspace, path and body
-     * @param targets the targets that it crashed
+     * @param fingerprint the hash of workspace, path and body, or a part of a prompt
+     * @param targets the targets that crashed
      * @param untilMillis the time at which the quarantine ends
      */
     public record Quarantined(String fingerprint, List<String> targets, long untilMillis) {}
@@ -43,17 +49,39 @@
     /** The number of crashed targets after which a router refuses a request of its own HTTP interface. */
     static final int DEFAULT_TARGETS_BEFORE_QUARANTINE = 2;
 
+    /** The number of crashed targets, at requests that differ, after which the part that they share is refused. */
+    private static final int TARGETS_BEFORE_PART_QUARANTINE = 2;
+
     private static final long QUARANTINE_MILLIS = 300_000;
     private static final int MAX_ENTRIES = 10_000;
+    private static final int MAX_TARGETS_PER_ENTRY = 16;
+
+    /** Parts that were answered most recently, so that late reports of earlier crashes are ignored. */
+    private static final int MAX_ANSWERED_PARTS = 4_096;
 
     private static final class Entry {
-        private final Set<String> targets = new HashSet<>();
+        private final Map<String, Long> crashedAtMillis = new LinkedHashMap<>();
+        private final Set<String> observedHere = new TreeSet<>();
+        private long lastCrashAtMillis = Long.MIN_VALUE;
         private long untilMillis;
     }
 
+    private static final class AnsweredParts extends LinkedHashMap<String, Long> {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_ANSWERED_PARTS;
+        }
+    }
+
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Long> answeredAtMillis = new AnsweredParts();
     private final Notifier notifier;
-    private final int targetsBeforeQuarantine;
+    private final CrashCauses.MinCrashes minCrashes;
+    private List<CrashCauses.Cause> causes = List.of();
+    private long nextExpiryAtMillis = Long.MAX_VALUE;
+    private int changes;
 
     /**
      * Creates an empty table.
@@ -63,95 +91,240 @@
      */
     public QuarantineTable(Notifier notifier, int targetsBeforeQuarantine) {
         this.notifier = notifier;
-        this.targetsBeforeQuarantine = targetsBeforeQuarantine;
+        this.minCrashes = new CrashCauses.MinCrashes(targetsBeforeQuarantine, TARGETS_BEFORE_PART_QUARANTINE);
     }
 
-    /** Records that a request crashed a target, and notifies the other routers. */
+    /** Records that a request crashed a target at this time, and notifies the other routers. */
     public void strike(String fingerprint, String target, long nowMillis) {
-        add(fingerprint, target, nowMillis);
-        notifier.send(fingerprint, target);
+        strike(fingerprint, target, nowMillis, nowMillis);
+    }
+
+    /** Records that a request crashed a target, and notifies the other routers. */
+    public void strike(String fingerprint, String target, long crashedAtMillis, long nowMillis) {
+        if (add(fingerprint, target, crashedAtMillis, nowMillis)) {
+            notifier.send(fingerprint, target, nowMillis - crashedAtMillis);
+        }
+        Entry entry = entries.get(fingerprint);
+        if (entry != null && entry.observedHere.add(target)) {
+            changes++;
+        }
     }
 
-    /** Applies the notification of another router; an empty target removes the strikes of the request. */
-    public void onPeerNotification(String fingerprint, String target, long nowMillis) {
+    /**
+     * Applies the report of another router; an empty target removes the records of the fingerprint. If a target has begun to
+     * answer a request with the fingerprint since the crash, that is announced instead.
+     *
+     * @param ageMillis the time since the crash, in milliseconds
+     */
+    public void onPeerNotification(String fingerprint, String target, long ageMillis, long nowMillis) {
         if (target.isEmpty()) {
-            entries.remove(fingerprint);
+            onAnswered(fingerprint, nowMillis);
+            remove(fingerprint);
+            return;
+        }
+        long crashedAtMillis = nowMillis - ageMillis;
+        if (answeredSince(fingerprint, crashedAtMillis)) {
+            notifier.send(fingerprint, "", 0);
             return;
         }
-        add(fingerprint, target, nowMillis);
+        add(fingerprint, target, crashedAtMillis, nowMillis);
     }
 
-    private void add(String fingerprint, String target, long nowMillis) {
+    /**
+     * Records a crash that was read from the store. Its time is not known, so it counts from now on.
+     *
+     * @param observedHere whether a previous process of this router observed it
+     */
+    public void onReport(String fingerprint, String target, boolean observedHere, long nowMillis) {
+        add(fingerprint, target, nowMillis, nowMillis);
+        Entry entry = entries.get(fingerprint);
+        if (observedHere && entry != null && entry.observedHere.add(target)) {
+            changes++;
+        }
+    }
+
+    private boolean answeredSince(String fingerprint, long millis) {
+        Long answered = answeredAtMillis.get(fingerprint);
+        return answered != null && answered >= millis;
+    }
+
+    /** Returns whether the record is new. */
+    private boolean add(String fingerprint, String target, long crashedAtMillis, long nowMillis) {
+        if (answeredSince(fingerprint, crashedAtMillis)) {
+            return false;
+        }
         Entry entry = entries.computeIfAbsent(fingerprint, ignored -> new Entry());
-        entry.targets.add(target);
-        entry.untilMillis = nowMillis + QUARANTINE_MILLIS;
-        if (entry.targets.size() == targetsBeforeQuarantine) {
-            LOGGER.atWarning().log(
-                    "request with fingerprint %s crashed targets %s and is quarantined", fingerprint, entry.targets);
+        boolean full = entry.crashedAtMillis.size() >= MAX_TARGETS_PER_ENTRY;
+        if (full || entry.crashedAtMillis.putIfAbsent(target, crashedAtMillis) != null) {
+            return false;
         }
+        entry.lastCrashAtMillis = Math.max(entry.lastCrashAtMillis, crashedAtMillis);
+        entry.untilMillis = nowMillis + QUARANTINE_MILLIS;
+        nextExpiryAtMillis = Math.min(nextExpiryAtMillis, entry.untilMillis);
         if (entries.size() > MAX_ENTRIES) {
             entries.remove(entries.keySet().iterator().next());
         }
+        changes++;
+        updateCauses();
+        return true;
     }
 
-    /** Returns whether no request has a strike. */
+    private void remove(String fingerprint) {
+        if (entries.remove(fingerprint) != null) {
+            changes++;
+            updateCauses();
+        }
+    }
+
+    private void updateCauses() {
+        Map<String, Set<String>> targets = new TreeMap<>();
+        entries.forEach((fingerprint, entry) -> {
+            if (entry.crashedAtMillis.size() >= minCrashes.ofPart()) {
+                targets.put(fingerprint, Set.copyOf(entry.crashedAtMillis.keySet()));
+            }
+        });
+        List<CrashCauses.Cause> before = causes;
+        causes = targets.isEmpty() ? List.of() : CrashCauses.of(targets, minCrashes);
+        for (CrashCauses.Cause cause : causes) {
+            if (before.stream().noneMatch(known -> known.fingerprints().equals(cause.fingerprints()))) {
+                LOGGER.atWarning().log(
+                        "requests with fingerprints %s crashed targets %s and are quarantined",
+                        cause.fingerprints(), cause.targets());
+            }
+        }
+    }
+
+    /** Removes the records whose last crash is longer ago than the duration of a quarantine. */
+    public void tick(long nowMillis) {
+        if (nowMillis < nextExpiryAtMillis) {
+            return;
+        }
+        if (entries.values().removeIf(entry -> nowMillis >= entry.untilMillis)) {
+            changes++;
+            updateCauses();
+        }
+        nextExpiryAtMillis = entries.values().stream()
+                .mapToLong(entry -> entry.untilMillis)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
+    /** Returns a number that changes with each change of the records. */
+    public int changes() {
+        return changes;
+    }
+
+    /** Returns whether no crash is recorded. */
     public boolean isEmpty() {
         return entries.isEmpty();
     }
 
+    /** Returns whether any requests are quarantined. */
+    public boolean refusesAny() {
+        return !causes.isEmpty();
+    }
+
     /** Returns whether a request has crashed a target and received no complete response since. */
     boolean isSuspect(String fingerprint) {
         return entries.containsKey(fingerprint);
     }
 
-    /** Removes the strikes of a request that received a complete response; notifies the other routers if it had any. */
+    /** Returns the time of the last crash recorded for a fingerprint; the lowest number if there is none. */
+    public long lastCrashAtMillis(String fingerprint) {
+        Entry entry = entries.get(fingerprint);
+        return entry == null ? Long.MIN_VALUE : entry.lastCrashAtMillis;
+    }
+
+    /** Removes the records of a request that received a complete response; notifies the other routers if it had any. */
     void clear(String fingerprint) {
-        if (entries.remove(fingerprint) != null) {
-            notifier.send(fingerprint, "");
+        if (entries.containsKey(fingerprint)) {
+            remove(fingerprint);
+            notifier.send(fingerprint, "", 0);
         }
     }
 
-    /** Returns how long a request is still refused; 0 if it may run. Removes an expired entry. */
-    private long remainingQuarantineMillis(String fingerprint, long nowMillis) {
-        Entry entry = entries.get(fingerprint);
-        if (entry == null) {
-            return 0;
+    /**
+     * Records that a target has begun to answer a request, so that its fingerprints do not crash targets. Removes their
+     * records and notifies the other routers if there were any.
+     */
+    public void onAnswerBegan(Collection<String> fingerprints, long nowMillis) {
+        for (String fingerprint : fingerprints) {
+            onAnswered(fingerprint, nowMillis);
+            clear(fingerprint);
         }
-        if (nowMillis >= entry.untilMillis) {
-            entries.remove(fingerprint);
-            return 0;
+    }
+
+    private void onAnswered(String fingerprint, long nowMillis) {
+        if (Fingerprint.isPart(fingerprint)) {
+            // Reinserted, so that the least recently answered part is removed first.
+            answeredAtMillis.remove(fingerprint);
+            answeredAtMillis.put(fingerprint, nowMillis);
         }
-        return entry.targets.size() >= targetsBeforeQuarantine ? entry.untilMillis - nowMillis : 0;
     }
 
-    /** Returns the refusal of a request in quarantine; empty if it may run. */
+    /** Returns the refusal of a request with one fingerprint if it is in quarantine; empty if it may run. */
     public Optional<Failure> refusal(String fingerprint, Failure.Ran ran, long nowMillis) {
-        long millis = remainingQuarantineMillis(fingerprint, nowMillis);
-        if (millis == 0) {
-            return Optional.empty();
+        return refusal(List.of(fingerprint), ran, nowMillis);
+    }
+
+    /** Returns the refusal of a request in quarantine; empty if it may run. */
+    public Optional<Failure> refusal(Collection<String> fingerprints, Failure.Ran ran, long nowMillis) {
+        tick(nowMillis);
+        for (CrashCauses.Cause cause : causes) {
+            if (fingerprints.containsAll(cause.fingerprints())) {
+                String message = "the request is quarantined because requests with " + cause.fingerprints()
+                        + " crashed several targets";
+                return Optional.of(new Failure(
+                        ErrorKind.QUARANTINED, message, ran, untilMillis(cause.fingerprints()) - nowMillis));
+            }
         }
-        String message = "the request is quarantined because it crashed several targets";
-        return Optional.of(new Failure(ErrorKind.QUARANTINED, message, ran, millis));
+        return Optional.empty();
     }
 
-    /** Removes the strikes of a request here and at the other routers; returns whether it had any on this router. */
+    private long untilMillis(Set<String> fingerprints) {
+        long untilMillis = 0;
+        for (String fingerprint : fingerprints) {
+            Entry entry = entries.get(fingerprint);
+            untilMillis = entry == null ? untilMillis : Math.max(untilMillis, entry.untilMillis);
+        }
+        return untilMillis;
+    }
+
+    /** Removes the records of a fingerprint here and at the other routers; returns whether it had any on this router. */
     public boolean release(String fingerprint) {
-        boolean hadStrikes = entries.remove(fingerprint) != null;
-        notifier.send(fingerprint, "");
-        return hadStrikes;
+        boolean known = entries.containsKey(fingerprint);
+        remove(fingerprint);
+        notifier.send(fingerprint, "", 0);
+        return known;
     }
 
-    /** Returns the requests that are quarantined at this time. */
+    /** Returns the fingerprints that are quarantined at this time. */
     public List<Quarantined> quarantined(long nowMillis) {
+        tick(nowMillis);
         List<Quarantined> result = new ArrayList<>();
-        for (String fingerprint : List.copyOf(entries.keySet())) {
-            if (remainingQuarantineMillis(fingerprint, nowMillis) > 0) {
-                Entry entry = entries.get(fingerprint);
-                if (entry != null) {
-                    result.add(new Quarantined(fingerprint, List.copyOf(entry.targets), entry.untilMillis));
-                }
+        for (CrashCauses.Cause cause : causes) {
+            for (String fingerprint : cause.fingerprints()) {
+                result.add(
+                        new Quarantined(fingerprint, List.copyOf(cause.targets()), untilMillis(Set.of(fingerprint))));
             }
         }
         return result;
     }
+
+    /** Returns the targets whose crashes this router observed, by fingerprint. */
+    public Map<String, Set<String>> observedHere() {
+        Map<String, Set<String>> result = new TreeMap<>();
+        entries.forEach((fingerprint, entry) -> {
+            if (!entry.observedHere.isEmpty()) {
+                result.put(fingerprint, Set.copyOf(entry.observedHere));
+            }
+        });
+        return result;
+    }
+
+    /** Passes every record to a notifier, for a router that may have missed the notifications. */
+    public void sendAll(Notifier receiver, long nowMillis) {
+        entries.forEach((fingerprint, entry) -> entry.crashedAtMillis.forEach(
+                (target, crashedAt) -> receiver.send(fingerprint, target, Math.max(0, nowMillis - crashedAt))));
+    }
 }
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -27,6 +27,7 @@
 import org.radishspan.proto.LedgerCall;
 import org.radishspan.proto.PeerMessage;
 import org.radishspan.proto.PresetState;
+import org.radishspan.proto.Strike;
 import org.radishspan.proto.WorkspaceState;
 import org.radishspan.recovery.OrphanScan;
 import org.radishspan.recovery.RecoverySystem;
@@ -379,8 +380,17 @@
         }
 
         @Override
-        public void onStrike(String fingerprint, String target) {
-            requests.quarantineTable().onPeerNotification(fingerprint, target, nowMillis);
+        public void onStrike(Strike strike) {
+            requests.quarantineTable()
+                    .onPeerNotification(strike.getFingerprint(), strike.getTarget(), strike.getAgeMillis(), nowMillis);
+        }
+
+        @Override
+        public void onConnected(String vm) {
+            requests.quarantineTable()
+                    .sendAll(
+                            (fingerprint, target, ageMillis) -> peers.sendStrike(vm, fingerprint, target, ageMillis),
+                            nowMillis);
         }
 
         @Override
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -27,6 +27,7 @@
     long lostWithSuspectAtMillis = Long.MIN_VALUE / 2;
     int queuedRequests;
     long startedAtUnixMillis;
+    long registeredAtMillis;
     long pendingPromptTokens;
     double peerPromptTokens;
     long peerPromptAtMillis;
@@ -113,6 +114,11 @@
         return startedAtUnixMillis;
     }
 
+    /** Returns when this router first received the entry of this incarnation; 0 if that is not known. */
+    public long registeredAtMillis() {
+        return registeredAtMillis;
+    }
+
     /** Returns the prompt tokens of this router's requests that have had no first event yet. */
     public long pendingPromptTokens() {
         return pendingPromptTokens;
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -129,6 +129,11 @@
      * the same name starts with an empty row.
      */
     public Target register(TargetEntry entry) {
+        return register(entry, 0);
+    }
+
+    /** Does the same as {@link #register(TargetEntry)}, and records when the entry was received. */
+    public Target register(TargetEntry entry, long nowMillis) {
         Target row = rows.get(entry.id());
         boolean unchanged = row != null
                 && row.port == entry.address().port()
@@ -144,6 +149,7 @@
                     speedOf(Set.of(entry.service())));
             row.slots = Math.max(1, entry.slots());
             row.startedAtUnixMillis = entry.startedAtUnixMillis();
+            row.registeredAtMillis = nowMillis;
             row.signals = signals.of(entry.id(), entry.startedAtUnixMillis());
             rows.put(entry.id(), row);
         }
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -212,6 +212,11 @@
         applyChanges(update.changes());
     }
 
+    /** Ends the time for which this view relies on updates of other routers, because these have stopped. */
+    public void endCoverage() {
+        coveredUntilMillis = nowMillis;
+    }
+
     /** Applies only the last change of each object, because earlier ones may be older than the view's entry. */
     private void applyChanges(List<ObjectKinds.Change> changes) {
         Map<String, ObjectKinds.Change> latest = new LinkedHashMap<>();
--- a/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
+++ b/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
@@ -15,7 +15,7 @@
         private final TargetTable table = new TargetTable();
         private boolean storeFailedRecently;
         private final TargetDirectory directory =
-                new TargetDirectory(table, millis -> storeFailedRecently, EventLog.silent(), ended -> {});
+                new TargetDirectory(table, millis -> storeFailedRecently, () -> 0, EventLog.silent(), ended -> {});
 
         private void putEntry(boolean draining) {
             directory.onPresent("t", new TargetEntry("", "s", new Address("10.0.0.1", 80), "a", 6, draining, 1));
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -182,7 +182,7 @@
                     new FrontRouter.Ports(
                             this,
                             this,
-                            FrontFleet.this::sendToTarget,
+                            targetTransport,
                             new HttpTargetProtocol(),
                             this,
                             RandomSource.XO_SHI_RO_256_PP.create(number + 1_000L * incarnationNumber),
@@ -350,6 +350,7 @@
     private final Map<String, Integer> storeCalls = new TreeMap<>();
     private final Map<String, List<TargetCall>> targetCalls = new HashMap<>();
     private final Map<String, String> addresses = new HashMap<>();
+    private final Map<String, String> targetsByAddress = new HashMap<>();
     private final List<Long> crashesMillis = new ArrayList<>();
     private final List<Long> crashingArrivalsMillis = new ArrayList<>();
     private final List<Failure> crashingRefusals = new ArrayList<>();
@@ -476,6 +477,21 @@
         return !newChanges.isEmpty();
     }
 
+    private final HttpTransport targetTransport = new HttpTransport() {
+        @Override
+        public Call send(Request request, Listener listener) {
+            return sendToTarget(request, listener);
+        }
+
+        @Override
+        public void test(String host, int port, Consumer<ConnectionTest> reply) {
+            boolean refused = targets.isDown(targetsByAddress.getOrDefault(host + ":" + port, ""));
+            scheduleAt(
+                    nowMicros + MICROS_PER_MILLI,
+                    () -> reply.accept(refused ? ConnectionTest.REFUSED : ConnectionTest.ACCEPTED));
+        }
+    };
+
     private HttpTransport.Call sendToTarget(HttpTransport.Request request, HttpTransport.Listener listener) {
         long tokens = Long.parseLong(request.header(TOKENS_HEADER).orElse("0"));
         String target = request.header(FleetTargets.nameHeader()).orElse("");
@@ -803,6 +819,7 @@
 
     private void writeTarget(String name, String address, String state) {
         addresses.put(name, address);
+        targetsByAddress.put(address, name);
         write(
                 TargetCodec.KIND,
                 name,
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -355,7 +355,7 @@
             };
         }
 
-        @Test(dataProvider = "fleets", groups = "known-red")
+        @Test(dataProvider = "fleets")
         public void areRefusedEverywhereAfterFiveCrashes(
                 int routers, int targets, double callsPerSecond, double crashingCallsPerSecond, int lostMessages) {
             FrontFleet fleet = fleet(routers, targets, callsPerSecond);
@@ -365,7 +365,7 @@
             assertRefusedAfterFiveCrashes(fleet);
         }
 
-        @Test(groups = "known-red")
+        @Test
         public void areRefusedByRoutersThatRestart() {
             FrontFleet fleet = fleet(6, 13, 50);
             fleet.callWithCrashingPart(1);
@@ -379,7 +379,7 @@
             assertRefusedAfterFiveCrashes(fleet);
         }
 
-        @Test(groups = "known-red")
+        @Test
         public void areRefusedWhileTheStoreIsUnreachable() {
             FrontFleet fleet = fleet(6, 40, 50);
             fleet.runCalls(16_000);
--- a/src/test/java/org/radishspan/http/HttpClientTest.java
+++ b/src/test/java/org/radishspan/http/HttpClientTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -315,6 +316,23 @@
         }
     }
 
+    @Test
+    public void aTestOfAConnectionTellsWhetherAProcessListens() throws Exception {
+        int port;
+        try (RawServer server = new RawServer(number -> OK)) {
+            port = server.socket.getLocalPort();
+            assertEquals(testConnection(port), HttpTransport.ConnectionTest.ACCEPTED);
+        }
+        assertEquals(testConnection(port), HttpTransport.ConnectionTest.REFUSED);
+    }
+
+    private HttpTransport.ConnectionTest testConnection(int port) throws Exception {
+        CompletableFuture<HttpTransport.ConnectionTest> result = new CompletableFuture<>();
+        group.execute(() ->
+                new HttpClient(group).test(InetAddress.getLoopbackAddress().getHostAddress(), port, result::complete));
+        return result.get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     @Test
     public void aTruncatedResponseIsAFailure() throws Exception {
         try (RawServer server =
--- a/src/test/java/org/radishspan/peer/PeerSystemTest.java
+++ b/src/test/java/org/radishspan/peer/PeerSystemTest.java
@@ -5,10 +5,12 @@
 import java.util.Set;
 
 import org.radishspan.budget.Ledger;
+import org.radishspan.proto.Hello;
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
 import org.radishspan.proto.LoadReport;
 import org.radishspan.proto.PeerMessage;
+import org.radishspan.proto.Strike;
 import org.radishspan.routing.TargetTable.ListedVm;
 import org.testng.annotations.Test;
 
@@ -22,6 +24,7 @@
 
     private static final class Harness implements PeerLink, PeerSystem.Handlers {
         private final List<String> resets = new ArrayList<>();
+        private final List<String> connected = new ArrayList<>();
         private final List<PeerMessage> sent = new ArrayList<>();
         private final List<String> silenceChanges = new ArrayList<>();
         private final PeerSystem peers =
@@ -46,6 +49,14 @@
                             .build());
         }
 
+        private void hello(String vm, String incarnation) {
+            peers.onMessage(
+                    vm,
+                    PeerMessage.newBuilder()
+                            .setHello(Hello.newBuilder().setVm(vm).setIncarnation(incarnation))
+                            .build());
+        }
+
         private void advance(long millis) {
             nowMillis += millis;
             peers.tick(nowMillis);
@@ -79,7 +90,12 @@
         public void onLedgerNotice(int partition) {}
 
         @Override
-        public void onStrike(String fingerprint, String target) {}
+        public void onStrike(Strike strike) {}
+
+        @Override
+        public void onConnected(String vm) {
+            connected.add(vm);
+        }
 
         @Override
         public void onRevision(long revision) {}
@@ -184,6 +200,19 @@
         }
     }
 
+    /** Connections that peers open. */
+    public static class Connections {
+        @Test
+        public void areReportedOnceTheyAreIdentifiedUnlessOfAnEndedProcess() {
+            Harness harness = new Harness(2);
+            harness.hello("vm-1", "vm-1-1");
+            harness.hello("vm-1", "vm-1-2");
+            harness.hello("vm-1", "vm-1-1");
+            harness.hello("unknown", "unknown-1");
+            assertEquals(harness.connected, List.of("vm-1", "vm-1"));
+        }
+    }
+
     /** The start of all routers of a large deployment at the same moment. */
     public static class Start {
         /**
--- a/src/test/java/org/radishspan/peer/ShareKeepersTest.java
+++ b/src/test/java/org/radishspan/peer/ShareKeepersTest.java
@@ -11,6 +11,7 @@
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
 import org.radishspan.proto.PeerMessage;
+import org.radishspan.proto.Strike;
 import org.radishspan.routing.TargetTable.ListedVm;
 import org.testng.annotations.Test;
 
@@ -42,7 +43,7 @@
         public void onLedgerNotice(int partition) {}
 
         @Override
-        public void onStrike(String fingerprint, String target) {}
+        public void onStrike(Strike strike) {}
 
         @Override
         public void onRevision(long revision) {}
--- a/src/test/java/org/radishspan/relay/RelayHarness.java
+++ b/src/test/java/org/radishspan/relay/RelayHarness.java
@@ -1,12 +1,14 @@
 package org.radishspan.relay;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -237,6 +239,7 @@
 
     final List<SentRequest> sent = new ArrayList<>();
     final TargetTable targets = new TargetTable();
+    private final Set<String> refusingHosts = new HashSet<>();
     final RelaySystem relay;
     private long nowMillis = 1_000;
     private int requestCount;
@@ -258,13 +261,13 @@
                 count -> List.of());
         relay = new RelaySystem(
                 new RelaySystem.Ports(
-                        this::send,
+                        new Transport(),
                         new HttpTargetProtocol(),
                         targets,
                         new TokenClient("vm-1", shares, new NoKeeperClient()),
                         () -> configuration,
                         () -> 1,
-                        new QuarantineTable((fingerprint, target) -> {}, 3),
+                        new QuarantineTable((fingerprint, target, ageMillis) -> {}, 3),
                         (target, uncachedTokens, sharedPartIds) -> {},
                         random,
                         () -> nowMillis,
@@ -332,10 +335,32 @@
         configuration = Optional.empty();
     }
 
-    private HttpTransport.Call send(HttpTransport.Request request, HttpTransport.Listener listener) {
-        SentRequest sentRequest = new SentRequest(request, listener);
-        sent.add(sentRequest);
-        return sentRequest;
+    private final class Transport implements HttpTransport {
+        @Override
+        public Call send(Request request, Listener listener) {
+            SentRequest sentRequest = new SentRequest(request, listener);
+            sent.add(sentRequest);
+            return sentRequest;
+        }
+
+        @Override
+        public void test(String host, int port, Consumer<ConnectionTest> reply) {
+            reply.accept(refusingHosts.contains(host) ? ConnectionTest.REFUSED : ConnectionTest.ACCEPTED);
+        }
+    }
+
+    /** Adds a target that registers at the present time. */
+    void addTarget(String name) {
+        targets.register(
+                new TargetEntry(
+                        name, "s", new Address("10.0.9." + targets.rows().size(), 80), "a", 6, false, 1),
+                nowMillis);
+    }
+
+    /** Ends the target of a request before the answer: the connection is lost, and the target refuses others. */
+    void crashTarget(SentRequest request) {
+        refusingHosts.add(request.request.host());
+        request.loseConnection();
     }
 
     SentRequest lastSent() {
@@ -368,11 +393,25 @@
         return call(route, key, bodyNumber, 0);
     }
 
+    /** Calls a route with a new request whose prompt has these parts. */
+    Caller callWithParts(String route, String... parts) {
+        return call(route, Optional.of(KEY), requestCount + 1, 0, List.of(parts));
+    }
+
     private Caller call(String route, Optional<String> key, int bodyNumber, long waitedMillis) {
+        return call(route, key, bodyNumber, waitedMillis, List.of("a", "b"));
+    }
+
+    private Caller call(String route, Optional<String> key, int bodyNumber, long waitedMillis, List<String> parts) {
         requestCount++;
         Caller caller = new Caller();
         Optional<Prompt> prompt = route.equals("stream") || route.equals("once")
-                ? Optional.of(new Prompt(1_000, 100, List.of(new Prompt.Part("a", 800), new Prompt.Part("b", 200))))
+                ? Optional.of(new Prompt(
+                        1_000,
+                        100,
+                        parts.stream()
+                                .map(part -> new Prompt.Part(part, 1_000 / parts.size()))
+                                .toList()))
                 : Optional.empty();
         relay.accept(
                 new CallerRequest(
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -1,5 +1,6 @@
 package org.radishspan.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -447,6 +448,133 @@
         }
     }
 
+    /** Parts of prompts that crash every target which begins to answer them; no two requests with them are alike. */
+    public static class CrashingParts {
+        private static final String STAMP = "X-Server-Stamp";
+        private int requestCount;
+
+        private RelayHarness.Caller call(RelayHarness harness, String route, String document) {
+            requestCount++;
+            return harness.callWithParts(route, "template", document, "own-" + requestCount);
+        }
+
+        private void crashTwoTargets(RelayHarness harness) {
+            for (int i = 0; i < 2; i++) {
+                call(harness, "once", "crashing");
+                harness.crashTarget(harness.lastSent());
+                harness.advance(100);
+                answerSoundRequest(harness);
+            }
+        }
+
+        private void answerSoundRequest(RelayHarness harness) {
+            call(harness, "once", "sound");
+            harness.lastSent().head(200, "Content-Type", STREAM, STAMP, "stamp");
+            harness.lastSent().events(1, 1);
+            harness.lastSent().end();
+        }
+
+        @Test
+        public void areRefusedAsNotRunWhileTheirOtherPartsAreServed() {
+            RelayHarness harness = new RelayHarness(6);
+            crashTwoTargets(harness);
+            int sends = harness.sent.size();
+            Failure failure = call(harness, "once", "crashing").failure();
+            assertEquals(failure.kind(), ErrorKind.QUARANTINED);
+            assertEquals(failure.ran(), Failure.Ran.NO);
+            assertTrue(failure.retryAfterMillis() > 0);
+            assertEquals(harness.sent.size(), sends);
+            assertTrue(call(harness, "once", "sound").open());
+            assertTrue(call(harness, "once", "new").open());
+        }
+
+        @Test
+        public void endTheRequestsThatWereSentButNotYetBegun() {
+            RelayHarness harness = new RelayHarness(6);
+            RelayHarness.Caller begun = call(harness, "once", "crashing");
+            RelayHarness.SentRequest begunSent = harness.lastSent();
+            RelayHarness.Caller waiting = call(harness, "once", "crashing");
+            RelayHarness.SentRequest waitingSent = harness.lastSent();
+            crashTwoTargets(harness);
+            begunSent.head(200, "Content-Type", STREAM, STAMP, "stamp");
+            harness.advance(20);
+            assertTrue(waitingSent.cancelled);
+            assertEquals(waiting.failure().ran(), Failure.Ran.UNKNOWN);
+            assertTrue(begunSent.cancelled, "a head alone is no begun answer of a stream");
+            assertFalse(begun.open());
+        }
+
+        @Test
+        public void areClearedByAnAnswer() {
+            RelayHarness harness = new RelayHarness(6);
+            call(harness, "once", "crashing");
+            RelayHarness.SentRequest slow = harness.lastSent();
+            call(harness, "once", "crashing");
+            harness.crashTarget(harness.lastSent());
+            harness.advance(100);
+            slow.head(200, "Content-Type", STREAM, STAMP, "stamp");
+            slow.events(1, 1);
+            harness.advance(100);
+            call(harness, "once", "crashing");
+            harness.crashTarget(harness.lastSent());
+            assertTrue(call(harness, "once", "crashing").open());
+        }
+
+        @Test
+        public void areNotThoseOfStreamsThatRanOnTheTarget() {
+            RelayHarness harness = new RelayHarness(8);
+            for (int i = 0; i < 4; i++) {
+                call(harness, "stream", "document");
+                harness.lastSent().head(200, "Content-Type", STREAM, STAMP, "stamp");
+                harness.lastSent().events(1, 3);
+                RelayHarness.SentRequest running = harness.lastSent();
+                harness.crashTarget(running);
+                harness.lastSent().loseConnection();
+            }
+            assertTrue(call(harness, "stream", "document").open());
+        }
+
+        @Test
+        public void areNotThoseOfTargetsThatFailTogether() {
+            RelayHarness harness = new RelayHarness(6);
+            List<RelayHarness.SentRequest> inProgress = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                call(harness, "once", "document-" + i);
+                inProgress.add(harness.lastSent());
+            }
+            long targets = inProgress.stream()
+                    .map(RelayHarness.SentRequest::target)
+                    .distinct()
+                    .count();
+            assertTrue(targets > 2, targets + " targets");
+            inProgress.forEach(harness::crashTarget);
+            assertTrue(call(harness, "once", "document-9").open());
+        }
+
+        @Test
+        public void areNotThoseOfTargetsThatCrashWheneverTheyStart() {
+            RelayHarness harness = new RelayHarness(1);
+            for (int i = 0; i < 5; i++) {
+                assertTrue(call(harness, "once", "document").open());
+                harness.crashTarget(harness.lastSent());
+                harness.targets.deregister(harness.lastSent().target());
+                harness.advance(4_000);
+                harness.addTarget("new-" + i);
+            }
+        }
+
+        @Test
+        public void areNotThoseOfConnectionsThatARunningTargetReset() {
+            RelayHarness harness = new RelayHarness(6);
+            for (int i = 0; i < 5; i++) {
+                call(harness, "once", "document");
+                harness.lastSent().loseConnection();
+                answerSoundRequest(harness);
+            }
+            assertTrue(call(harness, "once", "document").open());
+        }
+    }
+
     /**
      * Answers that never end. According to the users' pages, targets may send bytes that do not belong to an answer until the
      * connection is closed.
--- /dev/null
+++ b/src/test/java/org/radishspan/request/QuarantineTableTest.java
@@ -0,0 +1,94 @@
+package org.radishspan.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.radishspan.error.Failure;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Tests the records of crashes: their exchange between routers, their removal and their expiry. */
+public class QuarantineTableTest {
+    private static final String PART = Fingerprint.ofPart("s", "part");
+    private static final long QUARANTINE_MILLIS = 300_000;
+
+    private final List<String> sent = new ArrayList<>();
+    private final QuarantineTable table =
+            new QuarantineTable((fingerprint, target, ageMillis) -> sent.add(fingerprint + ":" + target), 3);
+
+    private boolean refused(long nowMillis) {
+        return table.refusal(List.of("request", PART), Failure.Ran.NO, nowMillis)
+                .isPresent();
+    }
+
+    private QuarantineTableTest strikeTwice() {
+        table.strike(PART, "t1", 1_000);
+        table.onPeerNotification(PART, "t2", 100, 2_000);
+        return this;
+    }
+
+    /** Records of one's own crashes and of those that other routers report. */
+    public static class Records {
+        @Test
+        public void ofSeveralRoutersCountTogetherAndEachTargetOnce() {
+            QuarantineTableTest test = new QuarantineTableTest();
+            test.table.strike(PART, "t1", 1_000);
+            test.table.onPeerNotification(PART, "t1", 0, 1_500);
+            assertFalse(test.refused(1_500));
+            test.table.onPeerNotification(PART, "t2", 0, 2_000);
+            assertTrue(test.refused(2_000));
+            assertEquals(test.sent, List.of(PART + ":t1"));
+        }
+
+        @Test
+        public void readFromTheStoreCountToo() {
+            QuarantineTableTest test = new QuarantineTableTest();
+            test.table.onReport(PART, "t1", false, 1_000);
+            test.table.onReport(PART, "t2", true, 1_000);
+            assertTrue(test.refused(1_000));
+            assertEquals(test.table.observedHere().get(PART), Set.of("t2"), "its own earlier process observed one");
+        }
+
+        @Test
+        public void expireAfterTheQuarantine() {
+            QuarantineTableTest test = new QuarantineTableTest().strikeTwice();
+            assertTrue(test.refused(2_000 + QUARANTINE_MILLIS - 1));
+            assertFalse(test.refused(2_000 + QUARANTINE_MILLIS));
+            assertTrue(test.table.isEmpty());
+        }
+
+        @Test
+        public void areSentToARouterThatConnects() {
+            QuarantineTableTest test = new QuarantineTableTest().strikeTwice();
+            List<String> received = new ArrayList<>();
+            test.table.sendAll((fingerprint, target, ageMillis) -> received.add(target + " " + ageMillis), 2_500);
+            assertEquals(received, List.of("t1 1500", "t2 600"));
+        }
+    }
+
+    /** Answers that show that a part does not crash targets. */
+    public static class Answers {
+        @Test
+        public void removeTheRecordsHereAndElsewhere() {
+            QuarantineTableTest test = new QuarantineTableTest().strikeTwice();
+            test.table.onAnswerBegan(List.of(PART), 2_100);
+            assertFalse(test.refused(2_100));
+            assertEquals(test.sent.get(test.sent.size() - 1), PART + ":");
+        }
+
+        @Test
+        public void outweighReportsOfEarlierCrashesThatArriveLater() {
+            QuarantineTableTest test = new QuarantineTableTest();
+            test.table.onAnswerBegan(List.of(PART), 2_000);
+            test.table.onPeerNotification(PART, "t1", 500, 2_100);
+            assertTrue(test.table.isEmpty());
+            assertEquals(test.sent, List.of(PART + ":"), "the other routers are told");
+            test.table.onPeerNotification(PART, "t2", 50, 2_100);
+            assertFalse(test.table.isEmpty(), "a crash after the answer counts");
+        }
+    }
+}
