Report a budget as exhausted when less than 3% is unspent and calls in progress hold it

Cause: the workspace's budget was spent at 23 s: 15,000 to 42,000 of 1,374,000 tokens unspent, all reserved by calls in progress, and the ledger and every keeper had refused. 402 needed fewer unspent tokens than the request asks for, settled or not. Ruled out: a refusal of sound parts; the quarantined part was the crashing one (13 refusals in that window, all for it). Evidence: TokenMeterTest.NearlySpent fails before (503) and passes. Change: below 3% unspent the refusal is 402; the users promise service within the other 97% only.

--- a/src/main/java/org/radishspan/relay/TokenMeter.java
+++ b/src/main/java/org/radishspan/relay/TokenMeter.java
@@ -14,6 +14,12 @@
 /** Reserves the maximum number of tokens that a request can use before it is placed, and bills the used tokens when it ends. */
 final class TokenMeter {
     /** The retry delay while other routers hold the tokens; they return the tokens that they can spare within a second. */
+    /**
+     * A budget with less than this fraction unspent is exhausted once the ledger and its keepers have refused a request: calls in
+     * progress hold the rest. The users' terms promise service only within the other 97%.
+     */
+    private static final double NEARLY_SPENT_FRACTION = 0.03;
+
     private static final long TOKENS_ELSEWHERE_RETRY_MILLIS = 600;
 
     /**
@@ -47,6 +53,7 @@
             return;
         }
         String budget = prepaidWorkspace.get().name();
+        long prepaidTokens = prepaidWorkspace.get().prepaidTokens().getAsLong();
         long tokens = prompt.get().worstCaseTokens();
         source.reserve(budget, tokens, request.deferrable, result -> {
             if (request.finished) {
@@ -54,7 +61,7 @@
                 return;
             }
             if (result.isLeft()) {
-                onRefused.accept(refusal(request, budget, tokens, result.getLeft()));
+                onRefused.accept(refusal(request, budget, tokens, prepaidTokens, result.getLeft()));
                 return;
             }
             request.reservedTokens = result.get();
@@ -64,13 +71,15 @@
 
     /**
      * Returns the failure of a request for which no tokens could be reserved. The failure states that the budget is exhausted
-     * only if the whole fleet has too few unspent tokens. Otherwise other routers hold the tokens, or the ledger did not answer.
+     * only if the whole fleet has too few unspent tokens, or hardly any. Otherwise other routers hold the tokens, or the ledger did not answer.
      */
-    private Failure refusal(RelayRequest request, String budget, long tokens, TokenSource.Refusal refusal) {
+    private Failure refusal(
+            RelayRequest request, String budget, long tokens, long prepaidTokens, TokenSource.Refusal refusal) {
         Failure failure = refusal.failure();
         OptionalLong unspent = refusal.unspentTokens();
-        boolean budgetExhausted =
-                failure.kind() == ErrorKind.BUDGET_EXHAUSTED && unspent.isPresent() && unspent.getAsLong() < tokens;
+        boolean budgetExhausted = failure.kind() == ErrorKind.BUDGET_EXHAUSTED
+                && unspent.isPresent()
+                && unspent.getAsLong() < Math.max(tokens, prepaidTokens * NEARLY_SPENT_FRACTION);
         log.trouble("no_tokens", request.id())
                 .with("budget", budget)
                 .with("tokens", tokens)
