--- a/src/main/java/org/radishspan/front/CrashReports.java
+++ b/src/main/java/org/radishspan/front/CrashReports.java
@@ -1,8 +1,11 @@
 package org.radishspan.front;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 import org.radishspan.deployment.CrashReport;
@@ -131,15 +134,16 @@
     public void onPresent(String name, CrashReport report) {
         CrashReport before = known.put(name, report);
         learnedAtMillis.put(name, nowMillis);
+        Map<String, List<String>> added = new TreeMap<>();
         report.targetsByFingerprint().forEach((fingerprint, targets) -> {
             Set<String> targetsBefore =
                     before == null ? Set.of() : before.targetsByFingerprint().getOrDefault(fingerprint, Set.of());
-            for (String target : targets) {
-                if (!targetsBefore.contains(target)) {
-                    crashes.onReport(fingerprint, target, name.equals(vm), nowMillis);
-                }
-            }
+            targets.stream()
+                    .filter(target -> !targetsBefore.contains(target))
+                    .forEach(target -> added.computeIfAbsent(target, ignored -> new ArrayList<>())
+                            .add(fingerprint));
         });
+        added.forEach((target, fingerprints) -> crashes.onReport(fingerprints, target, name.equals(vm), nowMillis));
         if (name.equals(vm)) {
             onOwnReport(report);
         }
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -583,13 +583,13 @@
         @Override
         public void onStrike(Strike strike) {
             quarantineTable.onPeerNotification(
-                    strike.getFingerprint(),
+                    PeerSystem.fingerprints(strike),
                     strike.getTarget(),
                     strike.getAgeMillis(),
                     ports.clockMillis().getAsLong());
             ports.log()
                     .belief("crash_reported")
-                    .with("fingerprint", strike.getFingerprint())
+                    .with("fingerprints", String.join(",", PeerSystem.fingerprints(strike)))
                     .with("target", strike.getTarget())
                     .with("age_ms", strike.getAgeMillis())
                     .write();
@@ -598,7 +598,7 @@
         @Override
         public void onConnected(String vm) {
             quarantineTable.sendAll(
-                    (fingerprint, target, ageMillis) -> peers.sendStrike(vm, fingerprint, target, ageMillis),
+                    (fingerprints, target, ageMillis) -> peers.sendStrike(vm, fingerprints, target, ageMillis),
                     ports.clockMillis().getAsLong());
         }
 
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -358,24 +358,33 @@
      *
      * @param ageMillis the time since the crash, in milliseconds
      */
-    public void announceStrike(String fingerprint, String target, long ageMillis) {
-        sendToAll(strike(fingerprint, target, ageMillis));
+    public void announceStrike(List<String> fingerprints, String target, long ageMillis) {
+        sendToAll(strike(fingerprints, target, ageMillis));
     }
 
     /** Sends a report that a request crashed a target to one peer. */
-    public void sendStrike(String vm, String fingerprint, String target, long ageMillis) {
-        sendTo(vm, strike(fingerprint, target, ageMillis));
+    public void sendStrike(String vm, List<String> fingerprints, String target, long ageMillis) {
+        sendTo(vm, strike(fingerprints, target, ageMillis));
     }
 
-    private static PeerMessage strike(String fingerprint, String target, long ageMillis) {
+    private static PeerMessage strike(List<String> fingerprints, String target, long ageMillis) {
         return PeerMessage.newBuilder()
                 .setStrike(Strike.newBuilder()
-                        .setFingerprint(fingerprint)
+                        .setFingerprint(fingerprints.get(0))
+                        .addAllFurtherFingerprints(fingerprints.subList(1, fingerprints.size()))
                         .setTarget(target)
                         .setAgeMillis(ageMillis))
                 .build();
     }
 
+    /** Returns all fingerprints that a report of a crash names. */
+    public static List<String> fingerprints(Strike strike) {
+        List<String> fingerprints = new ArrayList<>();
+        fingerprints.add(strike.getFingerprint());
+        fingerprints.addAll(strike.getFurtherFingerprintsList());
+        return fingerprints;
+    }
+
     /** Reports to every peer that this router sent a prompt to a target. */
     public void announcePrompt(PromptSent prompt) {
         sendToAll(PeerMessage.newBuilder().setPromptSent(prompt).build());
--- a/src/main/java/org/radishspan/relay/CrashDetector.java
+++ b/src/main/java/org/radishspan/relay/CrashDetector.java
@@ -95,11 +95,11 @@
         }
         lostConnections -= confirmed.size();
         for (LostConnection lostConnection : confirmed) {
-            for (String fingerprint : lostConnection.fingerprints()) {
-                if (!Fingerprint.isPart(fingerprint) || isFurtherEvidence(target, lostConnection, fingerprint)) {
-                    crashes.strike(fingerprint, incarnation(target), lostConnection.atMillis(), nowMillis);
-                }
-            }
+            List<String> fingerprints = lostConnection.fingerprints().stream()
+                    .filter(fingerprint ->
+                            !Fingerprint.isPart(fingerprint) || isFurtherEvidence(target, lostConnection, fingerprint))
+                    .toList();
+            crashes.strike(fingerprints, incarnation(target), lostConnection.atMillis(), nowMillis);
             metrics.onCrashRecorded();
             log.trouble("crash_recorded", lostConnection.requestId())
                     .with("fingerprints", String.join(",", lostConnection.fingerprints()))
--- a/src/main/java/org/radishspan/request/QuarantineTable.java
+++ b/src/main/java/org/radishspan/request/QuarantineTable.java
@@ -31,10 +31,11 @@
         /**
          * Sends the notification.
          *
+         * @param fingerprints the fingerprints of the requests that may be the cause
          * @param target the target that crashed; empty if the records are removed
          * @param ageMillis the time since the crash, in milliseconds
          */
-        void send(String fingerprint, String target, long ageMillis);
+        void send(List<String> fingerprints, String target, long ageMillis);
     }
 
     /**
@@ -96,38 +97,51 @@
 
     /** Records that a request crashed a target at this time, and notifies the other routers. */
     public void strike(String fingerprint, String target, long nowMillis) {
-        strike(fingerprint, target, nowMillis, nowMillis);
+        strike(List.of(fingerprint), target, nowMillis, nowMillis);
     }
 
-    /** Records that a request crashed a target, and notifies the other routers. */
-    public void strike(String fingerprint, String target, long crashedAtMillis, long nowMillis) {
-        if (add(fingerprint, target, crashedAtMillis, nowMillis)) {
-            notifier.send(fingerprint, target, nowMillis - crashedAtMillis);
+    /**
+     * Records that a request crashed a target, and notifies the other routers.
+     *
+     * @param fingerprints the fingerprints of the request, which are judged together
+     */
+    public void strike(List<String> fingerprints, String target, long crashedAtMillis, long nowMillis) {
+        List<String> added = add(fingerprints, target, crashedAtMillis, nowMillis);
+        if (!added.isEmpty()) {
+            notifier.send(added, target, nowMillis - crashedAtMillis);
         }
-        Entry entry = entries.get(fingerprint);
-        if (entry != null && entry.observedHere.add(target)) {
-            changes++;
+        markObservedHere(fingerprints, target);
+    }
+
+    private void markObservedHere(List<String> fingerprints, String target) {
+        for (String fingerprint : fingerprints) {
+            Entry entry = entries.get(fingerprint);
+            if (entry != null && entry.crashedAtMillis.containsKey(target) && entry.observedHere.add(target)) {
+                changes++;
+            }
         }
     }
 
     /**
-     * Applies the report of another router; an empty target removes the records of the fingerprint. If a target has begun to
-     * answer a request with the fingerprint since the crash, that is announced instead.
+     * Applies the report of another router; an empty target removes the records of the fingerprints. If a target has begun to
+     * answer a request with one of them since the crash, that is announced instead.
      *
      * @param ageMillis the time since the crash, in milliseconds
      */
-    public void onPeerNotification(String fingerprint, String target, long ageMillis, long nowMillis) {
+    public void onPeerNotification(List<String> fingerprints, String target, long ageMillis, long nowMillis) {
         if (target.isEmpty()) {
-            onAnswered(fingerprint, nowMillis);
-            remove(fingerprint);
+            fingerprints.forEach(fingerprint -> onAnswered(fingerprint, nowMillis));
+            remove(fingerprints);
             return;
         }
         long crashedAtMillis = nowMillis - ageMillis;
-        if (answeredSince(fingerprint, crashedAtMillis)) {
-            notifier.send(fingerprint, "", 0);
-            return;
+        List<String> answered = fingerprints.stream()
+                .filter(fingerprint -> answeredSince(fingerprint, crashedAtMillis))
+                .toList();
+        if (!answered.isEmpty()) {
+            notifier.send(answered, "", 0);
         }
-        add(fingerprint, target, crashedAtMillis, nowMillis);
+        add(fingerprints, target, crashedAtMillis, nowMillis);
     }
 
     /**
@@ -135,11 +149,10 @@
      *
      * @param observedHere whether a previous process of this router observed it
      */
-    public void onReport(String fingerprint, String target, boolean observedHere, long nowMillis) {
-        add(fingerprint, target, nowMillis, nowMillis);
-        Entry entry = entries.get(fingerprint);
-        if (observedHere && entry != null && entry.observedHere.add(target)) {
-            changes++;
+    public void onReport(List<String> fingerprints, String target, boolean observedHere, long nowMillis) {
+        add(fingerprints, target, nowMillis, nowMillis);
+        if (observedHere) {
+            markObservedHere(fingerprints, target);
         }
     }
 
@@ -148,7 +161,18 @@
         return answered != null && answered >= millis;
     }
 
-    /** Returns whether the record is new. */
+    /** Returns the fingerprints for which the record is new. */
+    private List<String> add(List<String> fingerprints, String target, long crashedAtMillis, long nowMillis) {
+        List<String> added = fingerprints.stream()
+                .filter(fingerprint -> add(fingerprint, target, crashedAtMillis, nowMillis))
+                .toList();
+        if (!added.isEmpty()) {
+            changes++;
+            updateCauses();
+        }
+        return added;
+    }
+
     private boolean add(String fingerprint, String target, long crashedAtMillis, long nowMillis) {
         if (answeredSince(fingerprint, crashedAtMillis)) {
             return false;
@@ -164,16 +188,19 @@
         if (entries.size() > MAX_ENTRIES) {
             entries.remove(entries.keySet().iterator().next());
         }
-        changes++;
-        updateCauses();
         return true;
     }
 
-    private void remove(String fingerprint) {
-        if (entries.remove(fingerprint) != null) {
+    /** Removes the records of fingerprints; returns those that had any. */
+    private List<String> remove(Collection<String> fingerprints) {
+        List<String> removed = fingerprints.stream()
+                .filter(fingerprint -> entries.remove(fingerprint) != null)
+                .toList();
+        if (!removed.isEmpty()) {
             changes++;
             updateCauses();
         }
+        return removed;
     }
 
     private void updateCauses() {
@@ -237,9 +264,13 @@
 
     /** Removes the records of a request that received a complete response; notifies the other routers if it had any. */
     void clear(String fingerprint) {
-        if (entries.containsKey(fingerprint)) {
-            remove(fingerprint);
-            notifier.send(fingerprint, "", 0);
+        clear(List.of(fingerprint));
+    }
+
+    private void clear(Collection<String> fingerprints) {
+        List<String> removed = remove(fingerprints);
+        if (!removed.isEmpty()) {
+            notifier.send(removed, "", 0);
         }
     }
 
@@ -248,9 +279,9 @@
      * records and notifies the other routers if there were any.
      */
     public void onAnswerBegan(Collection<String> fingerprints, long nowMillis) {
-        for (String fingerprint : fingerprints) {
-            onAnswered(fingerprint, nowMillis);
-            clear(fingerprint);
+        fingerprints.forEach(fingerprint -> onAnswered(fingerprint, nowMillis));
+        if (!entries.isEmpty()) {
+            clear(fingerprints);
         }
     }
 
@@ -292,9 +323,8 @@
 
     /** Removes the records of a fingerprint here and at the other routers; returns whether it had any on this router. */
     public boolean release(String fingerprint) {
-        boolean known = entries.containsKey(fingerprint);
-        remove(fingerprint);
-        notifier.send(fingerprint, "", 0);
+        boolean known = !remove(List.of(fingerprint)).isEmpty();
+        notifier.send(List.of(fingerprint), "", 0);
         return known;
     }
 
@@ -322,9 +352,15 @@
         return result;
     }
 
-    /** Passes every record to a notifier, for a router that may have missed the notifications. */
+    /** Passes the records of every target to a notifier, for a router that may have missed the notifications. */
     public void sendAll(Notifier receiver, long nowMillis) {
-        entries.forEach((fingerprint, entry) -> entry.crashedAtMillis.forEach(
-                (target, crashedAt) -> receiver.send(fingerprint, target, Math.max(0, nowMillis - crashedAt))));
+        Map<String, List<String>> fingerprints = new LinkedHashMap<>();
+        Map<String, Long> crashedAtMillis = new LinkedHashMap<>();
+        entries.forEach((fingerprint, entry) -> entry.crashedAtMillis.forEach((target, crashedAt) -> {
+            fingerprints.computeIfAbsent(target, ignored -> new ArrayList<>()).add(fingerprint);
+            crashedAtMillis.merge(target, crashedAt, Math::max);
+        }));
+        fingerprints.forEach((target, ofTarget) -> receiver.send(
+                ofTarget, target, Math.max(0, nowMillis - crashedAtMillis.getOrDefault(target, nowMillis))));
     }
 }
--- a/src/main/java/org/radishspan/router/Router.java
+++ b/src/main/java/org/radishspan/router/Router.java
@@ -382,14 +382,15 @@
         @Override
         public void onStrike(Strike strike) {
             requests.quarantineTable()
-                    .onPeerNotification(strike.getFingerprint(), strike.getTarget(), strike.getAgeMillis(), nowMillis);
+                    .onPeerNotification(
+                            PeerSystem.fingerprints(strike), strike.getTarget(), strike.getAgeMillis(), nowMillis);
         }
 
         @Override
         public void onConnected(String vm) {
             requests.quarantineTable()
                     .sendAll(
-                            (fingerprint, target, ageMillis) -> peers.sendStrike(vm, fingerprint, target, ageMillis),
+                            (fingerprints, target, ageMillis) -> peers.sendStrike(vm, fingerprints, target, ageMillis),
                             nowMillis);
         }
 
--- a/src/test/java/org/radishspan/relay/RelayHarness.java
+++ b/src/test/java/org/radishspan/relay/RelayHarness.java
@@ -267,7 +267,7 @@
                         new TokenClient("vm-1", shares, new NoKeeperClient()),
                         () -> configuration,
                         () -> 1,
-                        new QuarantineTable((fingerprint, target, ageMillis) -> {}, 3),
+                        new QuarantineTable((fingerprints, target, ageMillis) -> {}, 3),
                         (target, uncachedTokens, sharedPartIds) -> {},
                         random,
                         () -> nowMillis,
--- a/src/test/java/org/radishspan/request/QuarantineTableTest.java
+++ b/src/test/java/org/radishspan/request/QuarantineTableTest.java
@@ -17,8 +17,8 @@
     private static final long QUARANTINE_MILLIS = 300_000;
 
     private final List<String> sent = new ArrayList<>();
-    private final QuarantineTable table =
-            new QuarantineTable((fingerprint, target, ageMillis) -> sent.add(fingerprint + ":" + target), 3);
+    private final QuarantineTable table = new QuarantineTable(
+            (fingerprints, target, ageMillis) -> sent.add(String.join(",", fingerprints) + ":" + target), 3);
 
     private boolean refused(long nowMillis) {
         return table.refusal(List.of("request", PART), Failure.Ran.NO, nowMillis)
@@ -27,7 +27,7 @@
 
     private QuarantineTableTest strikeTwice() {
         table.strike(PART, "t1", 1_000);
-        table.onPeerNotification(PART, "t2", 100, 2_000);
+        table.onPeerNotification(List.of(PART), "t2", 100, 2_000);
         return this;
     }
 
@@ -37,9 +37,9 @@
         public void ofSeveralRoutersCountTogetherAndEachTargetOnce() {
             QuarantineTableTest test = new QuarantineTableTest();
             test.table.strike(PART, "t1", 1_000);
-            test.table.onPeerNotification(PART, "t1", 0, 1_500);
+            test.table.onPeerNotification(List.of(PART), "t1", 0, 1_500);
             assertFalse(test.refused(1_500));
-            test.table.onPeerNotification(PART, "t2", 0, 2_000);
+            test.table.onPeerNotification(List.of(PART), "t2", 0, 2_000);
             assertTrue(test.refused(2_000));
             assertEquals(test.sent, List.of(PART + ":t1"));
         }
@@ -47,8 +47,8 @@
         @Test
         public void readFromTheStoreCountToo() {
             QuarantineTableTest test = new QuarantineTableTest();
-            test.table.onReport(PART, "t1", false, 1_000);
-            test.table.onReport(PART, "t2", true, 1_000);
+            test.table.onReport(List.of(PART), "t1", false, 1_000);
+            test.table.onReport(List.of(PART), "t2", true, 1_000);
             assertTrue(test.refused(1_000));
             assertEquals(test.table.observedHere().get(PART), Set.of("t2"), "its own earlier process observed one");
         }
@@ -65,8 +65,31 @@
         public void areSentToARouterThatConnects() {
             QuarantineTableTest test = new QuarantineTableTest().strikeTwice();
             List<String> received = new ArrayList<>();
-            test.table.sendAll((fingerprint, target, ageMillis) -> received.add(target + " " + ageMillis), 2_500);
-            assertEquals(received, List.of("t1 1500", "t2 600"));
+            test.table.sendAll(
+                    (fingerprints, target, ageMillis) -> received.add(fingerprints + " " + target + " " + ageMillis),
+                    2_500);
+            assertEquals(received, List.of("[" + PART + "] t1 1500", "[" + PART + "] t2 600"));
+        }
+
+        /** Guards against a refusal of sound parts for the moment between two messages about the same crash. */
+        @Test
+        public void ofOneCrashAreJudgedTogether() {
+            QuarantineTableTest test = new QuarantineTableTest();
+            List<String> parts = List.of(Fingerprint.ofPart("s", "template"), PART);
+            test.table.strike(parts, "t1", 1_000, 1_000);
+            test.table.strike(parts, "t2", 2_000, 2_000);
+            assertEquals(test.sent, List.of(String.join(",", parts) + ":t1", String.join(",", parts) + ":t2"));
+            QuarantineTable receiver = new QuarantineTable((fingerprints, target, ageMillis) -> {}, 3);
+            test.table.sendAll(
+                    (fingerprints, target, ageMillis) -> {
+                        receiver.onPeerNotification(fingerprints, target, ageMillis, 3_000);
+                        assertFalse(
+                                receiver.refusal(List.of(parts.get(0)), Failure.Ran.NO, 3_000)
+                                        .isPresent(),
+                                "after the records of " + target);
+                    },
+                    3_000);
+            assertTrue(receiver.refusal(parts, Failure.Ran.NO, 3_000).isPresent());
         }
     }
 
@@ -84,10 +107,10 @@
         public void outweighReportsOfEarlierCrashesThatArriveLater() {
             QuarantineTableTest test = new QuarantineTableTest();
             test.table.onAnswerBegan(List.of(PART), 2_000);
-            test.table.onPeerNotification(PART, "t1", 500, 2_100);
+            test.table.onPeerNotification(List.of(PART), "t1", 500, 2_100);
             assertTrue(test.table.isEmpty());
             assertEquals(test.sent, List.of(PART + ":"), "the other routers are told");
-            test.table.onPeerNotification(PART, "t2", 50, 2_100);
+            test.table.onPeerNotification(List.of(PART), "t2", 50, 2_100);
             assertFalse(test.table.isEmpty(), "a crash after the answer counts");
         }
     }
