Count targets that end at the same moment as one crash against a part

Cause: two engines were stopped at 4.13 s. Two routers each lost a digest on one of them and announced it; the messages crossed, and each router had counted its own crash as independent, so that the template of all digests had two crashes, and nothing with it was sent any more that could clear it. Change: the judgement itself counts crashes less than 250 ms apart once, whoever reports them; reports in the store carry the time. A part of requests that were answered before needs three crashes instead of two. A reported crash expires five minutes after it happened.

--- a/src/main/java/org/radishspan/deployment/CrashReport.java
+++ b/src/main/java/org/radishspan/deployment/CrashReport.java
@@ -1,17 +1,16 @@
 package org.radishspan.deployment;
 
 import java.util.Map;
-import java.util.Set;
 
 /**
  * What a router has registered in the store about the crashes of targets that it observed.
  *
- * @param targetsByFingerprint the targets that crashed, by the fingerprint of the requests that may be the cause
+ * @param crashedAtUnixMillis when targets crashed, by the fingerprint of the requests that may be the cause and by target
  */
-public record CrashReport(Map<String, Set<String>> targetsByFingerprint) {
+public record CrashReport(Map<String, Map<String, Long>> crashedAtUnixMillis) {
 
     /** Returns whether no crash is reported. */
     public boolean isEmpty() {
-        return targetsByFingerprint.isEmpty();
+        return crashedAtUnixMillis.isEmpty();
     }
 }
--- a/src/main/java/org/radishspan/front/CrashReports.java
+++ b/src/main/java/org/radishspan/front/CrashReports.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 import org.radishspan.deployment.CrashReport;
@@ -40,6 +41,7 @@
     private final ObjectKinds kinds;
     private final QuarantineTable crashes;
     private final Predicate<String> isListed;
+    private final LongSupplier unixMillis;
     private final EventLog log;
     private final Map<String, CrashReport> known = new HashMap<>();
     private final Map<String, Long> learnedAtMillis = new HashMap<>();
@@ -56,12 +58,20 @@
      * Creates the reports of a router.
      *
      * @param isListed returns whether a VM is in the list of routers
+     * @param unixMillis the time of day
      */
-    CrashReports(String vm, ObjectKinds kinds, QuarantineTable crashes, Predicate<String> isListed, EventLog log) {
+    CrashReports(
+            String vm,
+            ObjectKinds kinds,
+            QuarantineTable crashes,
+            Predicate<String> isListed,
+            LongSupplier unixMillis,
+            EventLog log) {
         this.vm = vm;
         this.kinds = kinds;
         this.crashes = crashes;
         this.isListed = isListed;
+        this.unixMillis = unixMillis;
         this.log = log;
     }
 
@@ -79,7 +89,7 @@
         // Before the list is known, a write would replace the report of the previous process.
         if (changed && listed && !writing && nowMillis >= nextWriteAtMillis) {
             changed = false;
-            write(new CrashReport(crashes.observedHere()));
+            write(report());
         }
         if (nowMillis >= nextRemovalAtMillis) {
             nextRemovalAtMillis = nowMillis + ABANDONED_MILLIS;
@@ -87,6 +97,24 @@
         }
     }
 
+    /** Returns the crashes observed here. Those already written keep their times, as the time of day may have been set since. */
+    private CrashReport report() {
+        Map<String, Map<String, Long>> result = new TreeMap<>();
+        crashes.observedHere().forEach((fingerprint, targets) -> {
+            Map<String, Long> writtenBefore = written.crashedAtUnixMillis().getOrDefault(fingerprint, Map.of());
+            Map<String, Long> atUnixMillis = new TreeMap<>();
+            targets.forEach((target, atMillis) -> atUnixMillis.put(
+                    target, writtenBefore.getOrDefault(target, unixMillis.getAsLong() - (nowMillis - atMillis))));
+            result.put(fingerprint, atUnixMillis);
+        });
+        return new CrashReport(result);
+    }
+
+    private long toLocalMillis(long atUnixMillis) {
+        long ageMillis = Math.max(0, unixMillis.getAsLong() - atUnixMillis);
+        return nowMillis - ageMillis;
+    }
+
     private void write(CrashReport report) {
         if (report.equals(written)) {
             return;
@@ -135,15 +163,19 @@
         CrashReport before = known.put(name, report);
         learnedAtMillis.put(name, nowMillis);
         Map<String, List<String>> added = new TreeMap<>();
-        report.targetsByFingerprint().forEach((fingerprint, targets) -> {
-            Set<String> targetsBefore =
-                    before == null ? Set.of() : before.targetsByFingerprint().getOrDefault(fingerprint, Set.of());
-            targets.stream()
-                    .filter(target -> !targetsBefore.contains(target))
-                    .forEach(target -> added.computeIfAbsent(target, ignored -> new ArrayList<>())
-                            .add(fingerprint));
+        Map<String, Long> crashedAtMillis = new TreeMap<>();
+        report.crashedAtUnixMillis().forEach((fingerprint, targets) -> {
+            Map<String, Long> targetsBefore =
+                    before == null ? Map.of() : before.crashedAtUnixMillis().getOrDefault(fingerprint, Map.of());
+            targets.forEach((target, atUnixMillis) -> {
+                if (!targetsBefore.containsKey(target)) {
+                    added.computeIfAbsent(target, ignored -> new ArrayList<>()).add(fingerprint);
+                    crashedAtMillis.put(target, toLocalMillis(atUnixMillis));
+                }
+            });
         });
-        added.forEach((target, fingerprints) -> crashes.onReport(fingerprints, target, name.equals(vm), nowMillis));
+        added.forEach((target, fingerprints) -> crashes.onReport(
+                fingerprints, target, crashedAtMillis.getOrDefault(target, nowMillis), name.equals(vm), nowMillis));
         if (name.equals(vm)) {
             onOwnReport(report);
         }
--- a/src/main/java/org/radishspan/front/FrontProcess.java
+++ b/src/main/java/org/radishspan/front/FrontProcess.java
@@ -129,6 +129,7 @@
                         new DeferredPeerLink(),
                         RandomSource.XO_SHI_RO_256_PP.create(),
                         FrontProcess::nowMillis,
+                        System::currentTimeMillis,
                         boot.id(),
                         log,
                         meters));
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -81,6 +81,7 @@
      * @param peerLink sends messages to other routers
      * @param random the random source for jitter and for choosing among targets
      * @param clockMillis the monotonic clock of the VM; it never jumps and continues across restarts of the process
+     * @param unixMillis the time of day, which may jump and differ between VMs
      * @param bootId identifies the boot of the VM with which that clock started; 0 if it is not known
      * @param log the structured log
      * @param meters where counters and histograms are registered
@@ -93,6 +94,7 @@
             PeerLink peerLink,
             UniformRandomProvider random,
             LongSupplier clockMillis,
+            LongSupplier unixMillis,
             long bootId,
             EventLog log,
             MeterRegistry meters) {}
@@ -266,7 +268,8 @@
                 (vm, answer) -> peers.sendTo(
                         vm, PeerMessage.newBuilder().setTokensReserved(answer).build()));
         this.quarantineTable = new QuarantineTable(peers::announceStrike, CRASHES_BEFORE_QUARANTINE);
-        this.crashReports = new CrashReports(self.vm(), ports.kinds(), quarantineTable, routers::isListed, ports.log());
+        this.crashReports = new CrashReports(
+                self.vm(), ports.kinds(), quarantineTable, routers::isListed, ports.unixMillis(), ports.log());
         this.crashWatch = watch(CrashCodec.KIND, CrashCodec::decode, crashReports, () -> CRASHES_WATCH_MILLIS);
         feed.add(crashWatch, 3 * CRASHES_WATCH_MILLIS);
         VmSettings.Bounds bounds = settings.bounds();
--- a/src/main/java/org/radishspan/platform/CrashCodec.java
+++ b/src/main/java/org/radishspan/platform/CrashCodec.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -22,21 +21,22 @@
     public static JsonNode encode(CrashReport report) {
         ObjectNode content = Json.object();
         ArrayNode crashes = content.putArray("crashes");
-        report.targetsByFingerprint().forEach((fingerprint, targets) -> {
-            ArrayNode names =
-                    crashes.addObject().put("fingerprint", fingerprint).putArray("targets");
-            targets.stream().sorted().forEach(names::add);
-        });
+        report.crashedAtUnixMillis()
+                .forEach((fingerprint, targets) -> targets.forEach((target, atUnixMillis) -> crashes.addObject()
+                        .put("fingerprint", fingerprint)
+                        .put("target", target)
+                        .put("at_unix_ms", atUnixMillis)));
         return content;
     }
 
     /** Returns a report; empty if the content is not valid. */
     public static Optional<CrashReport> decode(JsonNode content) {
         JsonFields fields = JsonFields.of(content);
-        Map<String, Set<String>> targets = new TreeMap<>();
+        Map<String, Map<String, Long>> crashes = new TreeMap<>();
         for (JsonFields crash : fields.objects("crashes")) {
-            targets.put(crash.text("fingerprint"), Set.copyOf(crash.texts("targets")));
+            crashes.computeIfAbsent(crash.text("fingerprint"), ignored -> new TreeMap<>())
+                    .put(crash.text("target"), crash.wholeNumber("at_unix_ms", 0, Long.MAX_VALUE));
         }
-        return fields.valid() ? Optional.of(new CrashReport(targets)) : Optional.empty();
+        return fields.valid() ? Optional.of(new CrashReport(crashes)) : Optional.empty();
     }
 }
--- a/src/main/java/org/radishspan/relay/CrashDetector.java
+++ b/src/main/java/org/radishspan/relay/CrashDetector.java
@@ -29,9 +29,6 @@
     /** How long a lost connection can still lead to a record, if the target was not found terminated at once. */
     private static final long CONFIRM_MILLIS = 10_000;
 
-    /** Targets that end within this time of each other may have failed together, as with their host or network. */
-    private static final long SAME_FAILURE_MILLIS = 250;
-
     private static final int MAX_LOST_CONNECTIONS = 4_096;
 
     private record LostConnection(String requestId, String service, List<String> fingerprints, long atMillis) {}
@@ -120,7 +117,7 @@
         }
         long answerBeganMillis = answerBeganAtMillis.getOrDefault(lostConnection.service(), Long.MIN_VALUE);
         boolean outlivedPrevious = target.registeredAtMillis() < previousMillis
-                && lostConnection.atMillis() - previousMillis >= SAME_FAILURE_MILLIS;
+                && lostConnection.atMillis() - previousMillis >= QuarantineTable.SAME_FAILURE_MILLIS;
         return answerBeganMillis > previousMillis || outlivedPrevious;
     }
 
--- a/src/main/java/org/radishspan/request/CrashCauses.java
+++ b/src/main/java/org/radishspan/request/CrashCauses.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Decides which requests are refused because they crash targets, from the crashes recorded for their fingerprints.
@@ -31,23 +34,36 @@
      *
      * @param ofRequest crashes by one request and its repetitions
      * @param ofPart crashes by several requests that share a part
+     * @param ofAnsweredPart the same for a part of requests that targets have answered earlier
      */
-    record MinCrashes(int ofRequest, int ofPart) {}
+    record MinCrashes(int ofRequest, int ofPart, int ofAnsweredPart) {}
+
+    /** Targets that end within this time of each other may have failed together, as with their host or network. */
+    static final long SAME_FAILURE_MILLIS = 250;
 
     private CrashCauses() {}
 
     /**
      * Returns the causes that explain the recorded crashes.
      *
-     * @param targetsByFingerprint the targets that crashed while they had a request with the fingerprint
+     * @param crashes when targets crashed that had a request with the fingerprint, in milliseconds, by fingerprint and target
+     * @param answered whether targets have answered requests with a part before the crashes
      */
-    static List<Cause> of(Map<String, Set<String>> targetsByFingerprint, MinCrashes minCrashes) {
+    static List<Cause> of(Map<String, Map<String, Long>> crashes, Predicate<String> answered, MinCrashes minCrashes) {
+        Map<String, Set<String>> targetsByFingerprint = new LinkedHashMap<>();
+        Map<String, Long> crashedAtMillis = new HashMap<>();
+        crashes.forEach((fingerprint, targets) -> {
+            targetsByFingerprint.put(fingerprint, Set.copyOf(targets.keySet()));
+            crashedAtMillis.putAll(targets);
+        });
         Set<String> explained = new HashSet<>();
         List<Cause> causes = new ArrayList<>();
         List<Cause> candidates = partCandidates(targetsByFingerprint);
         for (Cause candidate : candidates) {
             Set<String> unexplained = without(candidate.targets(), explained);
-            if (unexplained.size() >= minCrashes.ofPart()
+            boolean allAnswered = candidate.fingerprints().stream().allMatch(answered);
+            int required = allAnswered ? minCrashes.ofAnsweredPart() : minCrashes.ofPart();
+            if (independentCrashes(unexplained, crashedAtMillis) >= required
                     && !hasEqualRival(candidate, unexplained, candidates, explained)) {
                 causes.add(candidate);
                 explained.addAll(candidate.targets());
@@ -61,6 +77,23 @@
         return causes;
     }
 
+    /** Counts the crashes of targets; those at the same moment count as one. */
+    private static int independentCrashes(Set<String> targets, Map<String, Long> crashedAtMillis) {
+        int count = 0;
+        long lastMillis = 0;
+        for (long atMillis : targets.stream()
+                .map(crashedAtMillis::get)
+                .filter(Objects::nonNull)
+                .sorted()
+                .toList()) {
+            if (count == 0 || atMillis - lastMillis >= SAME_FAILURE_MILLIS) {
+                count++;
+                lastMillis = atMillis;
+            }
+        }
+        return count;
+    }
+
     /**
      * Groups the parts that have the same crashes, most crashes first. Parts whose crashes can all be attributed to a single
      * request and its repetitions are left out, because nothing shows that other requests with them crash targets.
--- a/src/main/java/org/radishspan/request/QuarantineTable.java
+++ b/src/main/java/org/radishspan/request/QuarantineTable.java
@@ -53,6 +53,12 @@
     /** The number of crashed targets, at requests that differ, after which the part that they share is refused. */
     private static final int TARGETS_BEFORE_PART_QUARANTINE = 2;
 
+    /** The same for parts of requests that were answered before, which are less likely to be the cause. */
+    private static final int TARGETS_BEFORE_ANSWERED_PART_QUARANTINE = 3;
+
+    /** Targets that end within this time of each other may have failed together, as with their host or network. */
+    public static final long SAME_FAILURE_MILLIS = CrashCauses.SAME_FAILURE_MILLIS;
+
     private static final long QUARANTINE_MILLIS = 300_000;
     private static final int MAX_ENTRIES = 10_000;
     private static final int MAX_TARGETS_PER_ENTRY = 16;
@@ -92,7 +98,8 @@
      */
     public QuarantineTable(Notifier notifier, int targetsBeforeQuarantine) {
         this.notifier = notifier;
-        this.minCrashes = new CrashCauses.MinCrashes(targetsBeforeQuarantine, TARGETS_BEFORE_PART_QUARANTINE);
+        this.minCrashes = new CrashCauses.MinCrashes(
+                targetsBeforeQuarantine, TARGETS_BEFORE_PART_QUARANTINE, TARGETS_BEFORE_ANSWERED_PART_QUARANTINE);
     }
 
     /** Records that a request crashed a target at this time, and notifies the other routers. */
@@ -145,12 +152,13 @@
     }
 
     /**
-     * Records a crash that was read from the store. Its time is not known, so it counts from now on.
+     * Records a crash that was read from the store.
      *
      * @param observedHere whether a previous process of this router observed it
      */
-    public void onReport(List<String> fingerprints, String target, boolean observedHere, long nowMillis) {
-        add(fingerprints, target, nowMillis, nowMillis);
+    public void onReport(
+            List<String> fingerprints, String target, long crashedAtMillis, boolean observedHere, long nowMillis) {
+        add(fingerprints, target, crashedAtMillis, nowMillis);
         if (observedHere) {
             markObservedHere(fingerprints, target);
         }
@@ -174,7 +182,8 @@
     }
 
     private boolean add(String fingerprint, String target, long crashedAtMillis, long nowMillis) {
-        if (answeredSince(fingerprint, crashedAtMillis)) {
+        boolean expired = nowMillis >= crashedAtMillis + QUARANTINE_MILLIS;
+        if (expired || answeredSince(fingerprint, crashedAtMillis)) {
             return false;
         }
         Entry entry = entries.computeIfAbsent(fingerprint, ignored -> new Entry());
@@ -183,7 +192,7 @@
             return false;
         }
         entry.lastCrashAtMillis = Math.max(entry.lastCrashAtMillis, crashedAtMillis);
-        entry.untilMillis = nowMillis + QUARANTINE_MILLIS;
+        entry.untilMillis = entry.lastCrashAtMillis + QUARANTINE_MILLIS;
         nextExpiryAtMillis = Math.min(nextExpiryAtMillis, entry.untilMillis);
         if (entries.size() > MAX_ENTRIES) {
             entries.remove(entries.keySet().iterator().next());
@@ -204,14 +213,14 @@
     }
 
     private void updateCauses() {
-        Map<String, Set<String>> targets = new TreeMap<>();
+        Map<String, Map<String, Long>> crashes = new TreeMap<>();
         entries.forEach((fingerprint, entry) -> {
             if (entry.crashedAtMillis.size() >= minCrashes.ofPart()) {
-                targets.put(fingerprint, Set.copyOf(entry.crashedAtMillis.keySet()));
+                crashes.put(fingerprint, entry.crashedAtMillis);
             }
         });
         List<CrashCauses.Cause> before = causes;
-        causes = targets.isEmpty() ? List.of() : CrashCauses.of(targets, minCrashes);
+        causes = crashes.isEmpty() ? List.of() : CrashCauses.of(crashes, answeredAtMillis::containsKey, minCrashes);
         for (CrashCauses.Cause cause : causes) {
             if (before.stream().noneMatch(known -> known.fingerprints().equals(cause.fingerprints()))) {
                 LOGGER.atWarning().log(
@@ -341,12 +350,14 @@
         return result;
     }
 
-    /** Returns the targets whose crashes this router observed, by fingerprint. */
-    public Map<String, Set<String>> observedHere() {
-        Map<String, Set<String>> result = new TreeMap<>();
+    /** Returns when the targets crashed whose crashes this router observed, by fingerprint and target. */
+    public Map<String, Map<String, Long>> observedHere() {
+        Map<String, Map<String, Long>> result = new TreeMap<>();
         entries.forEach((fingerprint, entry) -> {
-            if (!entry.observedHere.isEmpty()) {
-                result.put(fingerprint, Set.copyOf(entry.observedHere));
+            Map<String, Long> observed = new TreeMap<>(entry.crashedAtMillis);
+            observed.keySet().retainAll(entry.observedHere);
+            if (!observed.isEmpty()) {
+                result.put(fingerprint, observed);
             }
         });
         return result;
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -187,6 +187,7 @@
                             this,
                             RandomSource.XO_SHI_RO_256_PP.create(number + 1_000L * incarnationNumber),
                             this::clockMillis,
+                            FrontFleet.this::nowMillis,
                             bootId,
                             EventLog.silent(),
                             new SimpleMeterRegistry()));
@@ -555,6 +556,15 @@
         public void setPaused(boolean paused) {}
     }
 
+    /** Ends some of the running targets at the same moment, for a reason that has nothing to do with requests. */
+    void crashTargets(int count) {
+        List<String> running = addresses.keySet().stream()
+                .filter(target -> !targets.isDown(target))
+                .sorted()
+                .toList();
+        running.subList(0, Math.min(count, running.size())).forEach(this::crash);
+    }
+
     /** Ends a target: its connections are lost, and it refuses others until it is back as another target. */
     private void crash(String target) {
         crashesMillis.add(nowMillis());
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -389,6 +389,31 @@
             assertRefusedAfterFiveCrashes(fleet);
         }
 
+        /** Guards against two routers that each report one of several targets that ended at the same moment. */
+        @Test(dataProvider = "seeds")
+        public void areNotAssumedWhereTargetsFailTogether(int seed) {
+            FrontFleet fleet =
+                    new FrontFleet(new FrontFleet.Layout(6, 3, 10, 50, 10 * DAY_SECONDS, 125_000, 200), seed);
+            fleet.addTargets(12);
+            fleet.advance(STARTUP_MILLIS);
+            fleet.callWithCrashingPart(0);
+            for (int i = 0; i < 4; i++) {
+                fleet.runCalls(4_000);
+                fleet.crashTargets(4);
+            }
+            fleet.runCalls(4_000);
+            assertEquals(
+                    fleet.refusals().stream()
+                            .filter(failure -> failure.kind() == ErrorKind.QUARANTINED)
+                            .count(),
+                    0);
+        }
+
+        @DataProvider
+        public Object[][] seeds() {
+            return new Object[][] {{1}, {2}, {3}, {4}, {5}};
+        }
+
         @Test(dataProvider = "fleets")
         public void doNotTakeSoundRequestsWithThem(
                 int routers, int targets, double callsPerSecond, double crashingCallsPerSecond, int lostMessages) {
--- a/src/test/java/org/radishspan/relay/RelayHarness.java
+++ b/src/test/java/org/radishspan/relay/RelayHarness.java
@@ -361,6 +361,7 @@
     void crashTarget(SentRequest request) {
         refusingHosts.add(request.request.host());
         request.loseConnection();
+        targets.deregister(request.target());
     }
 
     SentRequest lastSent() {
