Leave requests in progress whose parts were answered before, so that an answer can clear them

Cause: requests in progress were cancelled with the refusal. Change: not where targets have answered requests with each refused part before; such a request crashes one more target if the part is the cause, and ends the quarantine if it is not. Evidence: RelaySystemTest.CrashingParts.thatWereAnsweredBeforeAreClearedByRequestsInProgress. Also a test of the codec of the reports.

--- a/src/main/java/org/radishspan/relay/CrashDetector.java
+++ b/src/main/java/org/radishspan/relay/CrashDetector.java
@@ -151,6 +151,11 @@
         return crashes.refusesAny() ? refusal(request.fingerprints(), nowMillis) : Optional.empty();
     }
 
+    /** Returns whether a request is cancelled where it is in progress, because such requests crashed several targets. */
+    boolean isCancelled(RelayRequest request) {
+        return crashes.refusesAny() && crashes.isCancelled(request.fingerprints());
+    }
+
     private Optional<Failure> refusal(Collection<String> fingerprints, long nowMillis) {
         return crashes.refusal(fingerprints, Failure.Ran.NO, nowMillis);
     }
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -457,7 +457,7 @@
         checkedCrashes = crashDetector.changes();
         for (RelayRequest request : List.copyOf(requests)) {
             Attempt attempt = request.attempt;
-            if (attempt != null && !attempt.answerBegan()) {
+            if (attempt != null && !attempt.answerBegan() && crashDetector.isCancelled(request)) {
                 failIfQuarantined(request);
             }
         }
--- a/src/main/java/org/radishspan/request/QuarantineTable.java
+++ b/src/main/java/org/radishspan/request/QuarantineTable.java
@@ -321,6 +321,17 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns whether a request in quarantine is also cancelled where it is in progress. It is not if targets have answered
+     * requests with each of the refused parts before: if the parts are sound after all, its answer ends the quarantine.
+     */
+    public boolean isCancelled(Collection<String> fingerprints) {
+        return causes.stream()
+                .map(CrashCauses.Cause::fingerprints)
+                .anyMatch(cause -> fingerprints.containsAll(cause)
+                        && !answeredAtMillis.keySet().containsAll(cause));
+    }
+
     private long untilMillis(Set<String> fingerprints) {
         long untilMillis = 0;
         for (String fingerprint : fingerprints) {
--- a/src/test/java/org/radishspan/platform/CodecsTest.java
+++ b/src/test/java/org/radishspan/platform/CodecsTest.java
@@ -1,6 +1,7 @@
 package org.radishspan.platform;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -9,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.MissingNode;
 import io.vavr.control.Either;
 import org.radishspan.deployment.Address;
+import org.radishspan.deployment.CrashReport;
 import org.radishspan.deployment.DeploymentConfiguration;
 import org.radishspan.deployment.Route;
 import org.radishspan.deployment.RouteKind;
@@ -316,5 +318,14 @@
             assertEquals(RouterCodec.decode(RouterCodec.encode(entry)), Optional.of(entry));
             assertTrue(RouterCodec.decode(json("{'vm': 'x'}")).isEmpty());
         }
+
+        @Test
+        public void ofCrashesAreReadBackAndInvalidOnesSkipped() {
+            CrashReport report = new CrashReport(Map.of("part/s/p", Map.of("t1", 1_700_000_000_000L, "t2", 5L)));
+            assertEquals(CrashCodec.decode(CrashCodec.encode(report)), Optional.of(report));
+            assertTrue(CrashCodec.decode(json("{'crashes': [{'fingerprint': 'f', 'target': 't'}]}"))
+                    .isEmpty());
+            assertTrue(CrashCodec.decode(json("{'crashes': 3}")).isEmpty());
+        }
     }
 }
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -520,6 +520,32 @@
             assertTrue(call(harness, "once", "crashing").open());
         }
 
+        /** Guards against a sound part that stays refused because no request with it is sent that could clear it. */
+        @Test
+        public void thatWereAnsweredBeforeAreClearedByRequestsInProgress() {
+            RelayHarness harness = new RelayHarness(8);
+            call(harness, "stream", "answered");
+            harness.lastSent().head(200, "Content-Type", STREAM, STAMP, "stamp");
+            harness.lastSent().events(1, 1);
+            harness.lastSent().end();
+            harness.advance(10);
+            call(harness, "once", "answered");
+            RelayHarness.SentRequest inProgress = harness.lastSent();
+            for (int i = 0; i < 3; i++) {
+                call(harness, "once", "answered");
+                while (harness.lastSent().target().equals(inProgress.target())) {
+                    call(harness, "once", "answered");
+                }
+                harness.crashTarget(harness.lastSent());
+                harness.advance(260);
+            }
+            assertEquals(call(harness, "once", "answered").failure().kind(), ErrorKind.QUARANTINED);
+            assertFalse(inProgress.cancelled);
+            inProgress.head(200, "Content-Type", STREAM, STAMP, "stamp");
+            inProgress.events(1, 1);
+            assertTrue(call(harness, "once", "answered").open());
+        }
+
         @Test
         public void areNotThoseOfStreamsThatRanOnTheTarget() {
             RelayHarness harness = new RelayHarness(8);
