--- a/src/main/java/org/radishspan/explain/Explanation.java
+++ b/src/main/java/org/radishspan/explain/Explanation.java
@@ -27,6 +27,9 @@
      */
     private static final long CONTEXT_MILLIS = 10_000;
 
+    /** How long after the last crash requests are refused because of it. */
+    private static final long QUARANTINE_MILLIS = 300_000;
+
     private static final Set<String> TARGET_EVENTS =
             Set.of("target_ready", "target_draining", "target_gone", "target_lapsed", "attempt_failed");
     private static final Set<String> ROUTER_EVENTS = Set.of(
@@ -94,12 +97,25 @@
             boolean inContextPeriod = line.timeMillis() >= first - CONTEXT_MILLIS && line.timeMillis() <= last;
             boolean aboutUsedTarget = TARGET_EVENTS.contains(line.event()) && targets.contains(line.text("target"));
             boolean aboutInvolvedRouter = ROUTER_EVENTS.contains(line.event()) && sources.contains(line.source());
-            if (inContextPeriod && !line.isAbout(requestId) && (aboutUsedTarget || aboutInvolvedRouter)) {
+            boolean relevant = inContextPeriod && (aboutUsedTarget || aboutInvolvedRouter);
+            if (!line.isAbout(requestId) && (relevant || isCrashBehindRefusal(line, first, last))) {
                 contextLines.add(line);
             }
         }
     }
 
+    /** Returns whether a line records a crash for a fingerprint that the request was refused for. */
+    private boolean isCrashBehindRefusal(LogLine line, long firstMillis, long lastMillis) {
+        boolean inPeriod = line.timeMillis() >= firstMillis - QUARANTINE_MILLIS && line.timeMillis() <= lastMillis;
+        if (!inPeriod || !line.event().equals("crash_recorded")) {
+            return false;
+        }
+        List<String> fingerprints = List.of(line.text("fingerprints").split(","));
+        return requestLines.stream()
+                .filter(refusal -> refusal.text("kind").equals("quarantined"))
+                .anyMatch(refusal -> fingerprints.stream().anyMatch(refusal.text("reason")::contains));
+    }
+
     /**
      * Returns what decided the outcome, in one sentence. It is taken from the last line that reports the end of the request. If
      * there is none, the sentence names the possible reasons.
--- a/src/test/java/org/radishspan/explain/ExplanationTest.java
+++ b/src/test/java/org/radishspan/explain/ExplanationTest.java
@@ -84,6 +84,21 @@
         assertTrue(text.indexOf("request_sent") < text.indexOf("attempt_failed"), text);
     }
 
+    @Test
+    public void crashesBehindARefusalAreShownFromAllRouters() {
+        String refusal =
+                "{\"time_ms\":200000,\"event\":\"request_refused\",\"request\":\"d4\",\"kind\":\"quarantined\","
+                        + "\"reason\":\"requests with [part/s/p1] crashed several targets\"}";
+        String crashes =
+                "{\"time_ms\":1000,\"event\":\"crash_recorded\",\"request\":\"e5\",\"fingerprints\":\"f,part/s/p1\","
+                        + "\"target\":\"t-1@1\"}\n"
+                        + "{\"time_ms\":1000,\"event\":\"crash_recorded\",\"request\":\"e6\",\"fingerprints\":\"part/s/p2\","
+                        + "\"target\":\"t-2@1\"}\n";
+        String text = printToString(explain("d4", refusal, crashes));
+        assertTrue(text.contains("t-1@1"), text);
+        assertTrue(!text.contains("t-2@1"), text);
+    }
+
     @Test
     public void anUnknownRequestHasNoExplanation() {
         assertTrue(Explanation.of("zz", Map.of("log", TOKEN_SHORTAGE_LOG.lines().toList()))
