Log a report of crashes that could not be written to the store

Cause: a failed write of the router's object was retried every 500 ms without a line, against the house rule.

--- a/src/main/java/org/radishspan/front/CrashReports.java
+++ b/src/main/java/org/radishspan/front/CrashReports.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
+import io.vavr.control.Either;
 import org.radishspan.deployment.CrashReport;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
@@ -121,24 +122,26 @@
         }
         writing = true;
         if (report.isEmpty()) {
-            kinds.remove(CrashCodec.KIND, vm, reply -> onWritten(report, reply.isRight() || isAbsent(reply.getLeft())));
+            kinds.remove(CrashCodec.KIND, vm, reply -> onWritten(report, reply));
             return;
         }
-        kinds.write(CrashCodec.KIND, vm, CrashCodec.encode(report), reply -> onWritten(report, reply.isRight()));
+        kinds.write(CrashCodec.KIND, vm, CrashCodec.encode(report), reply -> onWritten(report, reply));
     }
 
-    private static boolean isAbsent(Failure failure) {
-        return failure.kind() == ErrorKind.CONFLICT;
-    }
-
-    private void onWritten(CrashReport report, boolean success) {
+    private void onWritten(CrashReport report, Either<Failure, Long> reply) {
         writing = false;
         nextWriteAtMillis = nowMillis + WRITE_RETRY_MILLIS;
+        // An object that is to be removed and is absent already is reported as a conflict.
+        boolean success =
+                reply.isRight() || (report.isEmpty() && reply.getLeft().kind() == ErrorKind.CONFLICT);
         if (success) {
             written = report;
             return;
         }
         changed = true;
+        log.belief("crash_report_not_written")
+                .with("reason", reply.getLeft().message())
+                .write();
     }
 
     private void removeAbandoned() {
