--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -19,13 +19,21 @@
     final String service;
     final String zone;
     final Queue<Run> runs = new ConcurrentLinkedQueue<>();
+    /** What it does instead of the usual answer; null for nothing else. */
+    interface Instead {
+        /** Answers a request; returns false if the usual answer is to be sent. */
+        boolean answer(String requestId, OutputStream out) throws Exception;
+    }
+
     private final long bornMillis = System.currentTimeMillis();
     private final AtomicInteger sequence = new AtomicInteger();
     private final Http http;
+    private volatile java.util.concurrent.Semaphore slots = new java.util.concurrent.Semaphore(64);
     volatile int events;
     volatile long eventMillis;
     volatile long workMillis;
     volatile String state = "ready";
+    volatile Instead instead;
 
     Engine(String id, String host, int port, String service, String zone, int events, long eventMillis, long workMillis) {
         this.id = id;
@@ -39,6 +47,12 @@
         http = new Http(host, port, false, this::handle);
     }
 
+    /** Sets how many requests it processes at once; others wait. */
+    Engine withSlots(int count) {
+        slots = new java.util.concurrent.Semaphore(count, true);
+        return this;
+    }
+
     void open() throws IOException {
         http.open();
     }
@@ -69,15 +83,24 @@
         }
         runs.add(new Run(
                 requestId, request.target(), request.header("X-Tenant"), System.nanoTime() / 1_000_000, request.bodyLength()));
+        Instead other = instead;
+        if (other != null && other.answer(requestId, out)) {
+            return false;
+        }
+        String leaving = state.equals("draining") ? "1" : "0";
         String stamp = "stamp-" + id + "-" + requestId;
         if (workMillis > 0) {
+            slots.acquire();
             Thread.sleep(workMillis);
+            slots.release();
         }
         if (events == 0) {
             Http.respond(
                     out,
                     200,
-                    Map.of("X-Attempt-Id", requestId, "X-Server-Stamp", stamp, "Content-Type", "text/plain"),
+                    leaving.equals("1")
+                            ? Map.of("X-Attempt-Id", requestId, "X-Server-Stamp", stamp, "Server-Leaving", "1")
+                            : Map.of("X-Attempt-Id", requestId, "X-Server-Stamp", stamp, "Content-Type", "text/plain"),
                     ("done " + requestId).getBytes(StandardCharsets.UTF_8));
             return true;
         }
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -27,6 +27,7 @@
 
     Fleet() throws IOException {
         folder = Files.createTempDirectory("radishspan-review-");
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
         int[] ports = freePorts();
         storePort = ports[0];
         frontPort = ports[1];
@@ -64,15 +65,20 @@
         return "127.0.1." + (router + 1);
     }
 
-    /** Starts the router of a machine; its output goes to a file of the temporary folder. */
+    /** Starts the router of a machine in one of the zones; its output goes to a file of the temporary folder. */
     Process start(int router) throws IOException {
-        String name = "front-" + ZONES[router % ZONES.length] + "-" + (router / ZONES.length + 1);
+        return start(router, ZONES[router % ZONES.length], router / ZONES.length + 1);
+    }
+
+    /** Starts the router of a machine with a number in a zone. */
+    Process start(int router, String zone, int number) throws IOException {
+        String name = "front-" + zone + "-" + number;
         ObjectNode node = Store.JSON.createObjectNode();
         node.put("node_name", name).put("node_role", "router").put("machine_class", "front");
         node.putArray("served_classes").add("front");
-        node.put("ip", address(router)).put("zone", ZONES[router % ZONES.length]).put("region", "sur-andino");
+        node.put("ip", address(router)).put("zone", zone).put("region", "sur-andino");
         ObjectNode zones = node.putObject("zones");
-        Arrays.stream(ZONES).forEach(zone -> zones.put(zone, "sur-andino"));
+        Arrays.stream(ZONES).forEach(each -> zones.put(each, "sur-andino"));
         ObjectNode bind = node.putObject("bind");
         bind.put("front", address(router) + ":" + frontPort);
         bind.put("ready", address(router) + ":" + readyPort);
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -30,6 +30,9 @@
     private final List<Copy> copies = new ArrayList<>();
     private long revision = 100;
     private int era = 1;
+    private int generation = 1;
+    private boolean silent;
+    private final Map<java.net.Socket, Integer> generations = new java.util.WeakHashMap<>();
     long calls;
 
     Store(String host, int port) {
@@ -51,6 +54,28 @@
         copies.add(new Copy(now(), revision, all, history.size()));
     }
 
+    /** Goes away silently: connections stay open and nothing is answered on them any more. */
+    synchronized void fallSilent() {
+        silent = true;
+        generation++;
+    }
+
+    /** Answers again, but only on connections that are made from now on. */
+    synchronized void speakAgain() {
+        silent = false;
+        generation++;
+        notifyAll();
+    }
+
+    private synchronized boolean isDead(java.net.Socket socket) {
+        return silent || generations.computeIfAbsent(socket, ignored -> generation) != generation;
+    }
+
+    /** Holds the thread of a connection that is not answered any more. */
+    private static void hold() throws InterruptedException {
+        Thread.sleep(Long.MAX_VALUE);
+    }
+
     /** Goes away: no connection is left and none can be made. */
     void away() throws IOException {
         http.close();
@@ -120,6 +145,9 @@
     }
 
     private boolean handle(Http.Request request, OutputStream out, java.net.Socket socket) throws Exception {
+        if (isDead(socket)) {
+            hold();
+        }
         String[] parts = request.path().split("/");
         if (parts.length < 4 || !request.path().startsWith("/api/objects/")) {
             return answer(out, 404, JSON.createObjectNode());
@@ -133,7 +161,7 @@
                     return object == null ? answer(out, 404, JSON.createObjectNode()) : answer(out, 200, object);
                 }
                 if (request.query("watch") != null) {
-                    return watch(request, kind, out);
+                    return watch(request, kind, out, socket);
                 }
                 return list(request, kind, out);
             case "POST":
@@ -176,16 +204,16 @@
         return answer(out, 200, body);
     }
 
-    private boolean watch(Http.Request request, String kind, OutputStream out) throws Exception {
+    private boolean watch(Http.Request request, String kind, OutputStream out, java.net.Socket socket) throws Exception {
         long from = Long.parseLong(request.query("watch"));
         long until = now() + Long.parseLong(request.query("wait_ms"));
         ObjectNode body = JSON.createObjectNode();
         synchronized (this) {
             calls++;
-            int startedEra = era;
             while (true) {
-                if (era != startedEra) {
-                    return false;
+                if (isDead(socket)) {
+                    wait();
+                    continue;
                 }
                 if (from > revision) {
                     return answer(out, 410, JSON.createObjectNode());
