--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -19,6 +19,12 @@
     final String service;
     final String zone;
     final Queue<Run> runs = new ConcurrentLinkedQueue<>();
+    /** What it does instead of the usual answer. */
+    interface Instead {
+        /** Answers a request; returns false if the usual answer is to be sent. */
+        boolean answer(String requestId, OutputStream out) throws Exception;
+    }
+
     private final long bornMillis = System.currentTimeMillis();
     private final AtomicInteger sequence = new AtomicInteger();
     private final Http http;
@@ -27,6 +33,7 @@
     volatile long eventMillis;
     volatile long workMillis;
     volatile String state = "ready";
+    volatile Instead instead = (requestId, out) -> false;
 
     Engine(String id, String host, int port, String service, String zone, int events, long eventMillis, long workMillis) {
         this.id = id;
@@ -76,6 +83,9 @@
         }
         runs.add(new Run(
                 requestId, request.target(), request.header("X-Tenant"), System.nanoTime() / 1_000_000, request.bodyLength()));
+        if (instead.answer(requestId, out)) {
+            return false;
+        }
         String leaving = state.equals("draining") ? "1" : "0";
         String stamp = "stamp-" + id + "-" + requestId;
         if (workMillis > 0) {
