--- a/review/standin/Revoked.java
+++ b/review/standin/Revoked.java
@@ -49,6 +49,10 @@
             exit = play(fleet, trouble, record);
             fleet.close();
             fleet.removeFolder();
+        } catch (Exception e) {
+            // The case could not run to its end.
+            e.printStackTrace();
+            exit = 2;
         }
         System.exit(exit);
     }
--- a/review/standin/Rewind.java
+++ b/review/standin/Rewind.java
@@ -42,6 +42,10 @@
             exit = play(fleet, trouble, record);
             fleet.close();
             fleet.removeFolder();
+        } catch (Exception e) {
+            // The case could not run to its end.
+            e.printStackTrace();
+            exit = 2;
         }
         System.exit(exit);
     }
