--- a/review/standin/Bodies.java
+++ b/review/standin/Bodies.java
@@ -19,7 +19,7 @@
  */
 final class Bodies {
     private static final int ROUTERS = 6;
-    private static final int SMALL_CLIENTS = 24;
+    private static final int SMALL_CLIENTS = 36;
     private static final int LARGE_CLIENTS = 2;
     private static final int BURST_CLIENTS = 80;
     private static final int SMALL_BYTES = 200;
@@ -30,7 +30,7 @@
     private static final long BURST_MILLIS = 4_000;
     private static final long BURST_EACH_MILLIS = 8_000;
     private static final long CALM_AT_MILLIS = BURST_AT_MILLIS + (BURSTS - 1) * BURST_EACH_MILLIS + BURST_MILLIS + 5_000;
-    private static final long LENGTH_MILLIS = CALM_AT_MILLIS + 12_000;
+    private static final long LENGTH_MILLIS = CALM_AT_MILLIS + 20_000;
     private static final int TIMEOUT_MILLIS = 5_000;
     private static final int DEADLINE_MILLIS = 8_000;
 
