--- a/src/main/java/org/radishspan/budget/BillSettler.java
+++ b/src/main/java/org/radishspan/budget/BillSettler.java
@@ -18,6 +18,9 @@
 
     private static final long HANDOVER_RETRY_MILLIS = 200;
 
+    /** Time from a settlement that a ledger did not accept, because it is being restored, to the next one. */
+    private static final long UNAVAILABLE_RETRY_MILLIS = 100;
+
     private final LedgerGateway gateway;
     private final ShareSystem.BillHandover handover;
     private final ShareCounters counters;
@@ -25,6 +28,7 @@
     private final BoundSupplier boundSupplier;
     private long handoverAfterMillis;
     private long settleIntervalMillis;
+    private SharePolicy.Tuning tuning = SharePolicy.Tuning.DEFAULT;
     private long boundMillis;
     private long nowMillis;
 
@@ -41,15 +45,16 @@
         this.boundSupplier = boundSupplier;
     }
 
-    void startTick(long tickMillis, SharePolicy policy, SharePolicy.Tuning tuning) {
+    void startTick(long tickMillis, SharePolicy policy, SharePolicy.Tuning currentTuning) {
         nowMillis = tickMillis;
+        tuning = currentTuning;
         handoverAfterMillis = policy.handoverAfterMillis();
         settleIntervalMillis = tuning.settleIntervalMillis();
         boundMillis = tuning.boundMillis();
     }
 
     void settle(Share share) {
-        if (share.settleInFlight) {
+        if (share.settleInFlight || share.reportPending || nowMillis < share.settleRetryAtMillis) {
             return;
         }
         boolean intervalElapsed = nowMillis >= share.nextSettleAtMillis || share.urgentSettle;
@@ -87,16 +92,21 @@
     }
 
     private void onSettled(Share share, Ledger.Settlement settlement, LedgerResult result) {
-        if (!share.shareId.equals(settlement.shareId())) {
+        if (!share.shareId.equals(settlement.shareId()) || settlement.settleSeq() < share.reportedSettleSeq) {
             return;
         }
         share.settleInFlight = false;
+        if (LedgerOps.isUnavailable(result)) {
+            share.settleRetryAtMillis = nowMillis + UNAVAILABLE_RETRY_MILLIS;
+            return;
+        }
         if (LedgerOps.failure(result).isPresent()) {
             onLost.accept(share);
             return;
         }
         share.onBoundCommitted(settlement.shareId(), settlement.bound(), result);
         share.updateAccount(result);
+        share.spendableUntilMillis = tuning.spendableUntilMillis(share.settleSubmittedAtMillis);
         share.refreshLimit(nowMillis);
         share.committedSettleSeq = Math.max(share.committedSettleSeq, settlement.settleSeq());
         completeBills(share, settlement.settleSeq());
--- a/src/main/java/org/radishspan/budget/GrantRequester.java
+++ b/src/main/java/org/radishspan/budget/GrantRequester.java
@@ -119,6 +119,8 @@
         share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
         share.nextUrgentRequestAtMillis = share.nextRequestAtMillis;
         String requestedShareId = share.shareId;
+        long requestSeq = share.requestSeq;
+        long sentAtMillis = nowMillis;
         List<String> holders = holdersToRecord(share);
         Ledger.GrantRequest request = new Ledger.GrantRequest(
                 requestedShareId,
@@ -137,8 +139,10 @@
                 share.partition,
                 LedgerOps.grant(share.budget, request, sizing.policy().freeFraction(), sizing.tuning()),
                 result -> {
-                    share.onBoundCommitted(requestedShareId, request.bound(), result);
-                    onRequestDone(share, requestedShareId, minimumTokens, holders, result);
+                    if (isExpected(share, requestedShareId, requestSeq)) {
+                        share.onBoundCommitted(requestedShareId, request.bound(), result);
+                        onRequestDone(share, sentAtMillis, minimumTokens, holders, result);
+                    }
                 });
     }
 
@@ -164,13 +168,20 @@
         return selected;
     }
 
+    /** Returns whether a result belongs to the last request of a share. */
+    private static boolean isExpected(Share share, String requestedShareId, long requestSeq) {
+        return share.shareId.equals(requestedShareId) && share.requestSeq == requestSeq;
+    }
+
     private void onRequestDone(
-            Share share, String requestedShareId, long minimumTokens, List<String> holders, LedgerResult result) {
-        if (!share.shareId.equals(requestedShareId)) {
-            return;
-        }
+            Share share, long sentAtMillis, long minimumTokens, List<String> holders, LedgerResult result) {
         share.requestInFlight = false;
         unansweredSinceMillis = 0;
+        if (LedgerOps.isUnavailable(result)) {
+            // Calls go on waiting for tokens until their time limit.
+            share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
+            return;
+        }
         Optional<Failure> failure = LedgerOps.failure(result);
         if (failure.isPresent()) {
             onRefused(share, failure.get());
@@ -193,6 +204,7 @@
             onLedgerShort(share, minimumTokens);
         }
         share.updateAccount(result);
+        share.spendableUntilMillis = sizing.tuning().spendableUntilMillis(sentAtMillis);
         share.refreshLimit(nowMillis);
         listener.onShareUpdated(share);
     }
@@ -221,11 +233,17 @@
         share.refreshLimit(nowMillis);
         share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
         String requestedShareId = share.shareId;
+        long requestSeq = share.requestSeq;
+        long sentAtMillis = nowMillis;
         counters.giveBacks++;
         recordRequestSent();
         gateway.submit(
                 share.partition,
-                LedgerOps.giveBack(share.budget, requestedShareId, share.requestSeq, tokens, reportDemand(share)),
-                result -> onRequestDone(share, requestedShareId, 0, new ArrayList<>(share.holders), result));
+                LedgerOps.giveBack(share.budget, requestedShareId, requestSeq, tokens, reportDemand(share)),
+                result -> {
+                    if (isExpected(share, requestedShareId, requestSeq)) {
+                        onRequestDone(share, sentAtMillis, 0, new ArrayList<>(share.holders), result);
+                    }
+                });
     }
 }
--- a/src/main/java/org/radishspan/budget/Ledger.java
+++ b/src/main/java/org/radishspan/budget/Ledger.java
@@ -288,6 +288,10 @@
             if (account == null || index < 0) {
                 return Either.right(state);
             }
+            if (account.getShares(index).getSettleSeq() > lastSettlement.settleSeq()) {
+                // The router has reported the share to a restored ledger since, and may use it again.
+                return Either.right(state);
+            }
             return raiseTotals(state, account, index, lastSettlement)
                     .map(settled -> removeShare(settled, budget, lastSettlement.shareId()));
         };
--- a/src/main/java/org/radishspan/budget/LedgerGateway.java
+++ b/src/main/java/org/radishspan/budget/LedgerGateway.java
@@ -1,6 +1,7 @@
 package org.radishspan.budget;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,10 +10,12 @@
 import java.util.function.Predicate;
 
 import org.radishspan.error.Failure;
+import org.radishspan.proto.CommittedMark;
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
 import org.radishspan.proto.LedgerOp;
 import org.radishspan.proto.LedgerResult;
+import org.radishspan.store.StoreEra;
 
 /**
  * Sends changes of ledgers to the router that commits them.
@@ -54,25 +57,30 @@
 
     private final LedgerPartitions ledgers;
     private final CombinerClient combinerClient;
+    private final StoreEra storeEra;
     private final long responseTimeoutMillis;
+    private final Map<String, CommittedMark> marks = new HashMap<>();
     private final Map<Integer, List<QueuedChange>> outbox = new LinkedHashMap<>();
     private final Map<Long, SentCall> sentCalls = new LinkedHashMap<>();
     private long lastCallId;
 
-    /** Creates a gateway with the default response time-out. */
+    /** Creates a gateway with the default response time-out for ledgers in a store that names no era. */
     public LedgerGateway(LedgerPartitions ledgers, CombinerClient combinerClient) {
-        this(ledgers, combinerClient, DEFAULT_RESPONSE_TIMEOUT_MILLIS);
+        this(ledgers, combinerClient, new StoreEra(), DEFAULT_RESPONSE_TIMEOUT_MILLIS);
     }
 
     /**
      * Creates a gateway.
      *
+     * @param storeEra the era of the store, of which routers also inform each other with the results of changes
      * @param responseTimeoutMillis the time after which changes without a response are sent to the next combiner or
      *     committed here
      */
-    public LedgerGateway(LedgerPartitions ledgers, CombinerClient combinerClient, long responseTimeoutMillis) {
+    public LedgerGateway(
+            LedgerPartitions ledgers, CombinerClient combinerClient, StoreEra storeEra, long responseTimeoutMillis) {
         this.ledgers = ledgers;
         this.combinerClient = combinerClient;
+        this.storeEra = storeEra;
         this.responseTimeoutMillis = responseTimeoutMillis;
     }
 
@@ -125,7 +133,7 @@
             ledgers.get(partition)
                     .submit(
                             LedgerOps.mutation(change.op()),
-                            outcome -> change.done().accept(LedgerOps.result(change.op(), outcome)));
+                            outcome -> finish(change, LedgerOps.result(change.op(), outcome, storeEra.current())));
         }
     }
 
@@ -189,7 +197,7 @@
             int index = i;
             LedgerOp op = call.getOps(i);
             ledgers.get(call.getPartition()).submit(LedgerOps.mutation(op), outcome -> {
-                results[index] = LedgerOps.result(op, outcome);
+                results[index] = LedgerOps.result(op, outcome, storeEra.current());
                 remaining[0]--;
                 if (remaining[0] == 0) {
                     combinerClient.reply(
@@ -213,10 +221,58 @@
             return;
         }
         for (int i = 0; i < call.ops().size(); i++) {
-            call.ops().get(i).done().accept(answer.getResults(i));
+            finish(call.ops().get(i), answer.getResults(i));
         }
     }
 
+    private void finish(QueuedChange change, LedgerResult result) {
+        if (result.hasEra()) {
+            storeEra.onReported(result.getEra());
+        }
+        if (result.hasCommittedTokens()) {
+            recordMark(change.op().getBudget(), result);
+        }
+        change.done().accept(result);
+    }
+
+    private void recordMark(String budget, LedgerResult result) {
+        CommittedMark mark = CommittedMark.newBuilder()
+                .setBudget(budget)
+                .setEra(result.hasEra() ? result.getEra() : StoreEra.UNKNOWN)
+                .setGeneration(result.getGeneration())
+                .setCommittedTokens(result.getCommittedTokens())
+                .build();
+        CommittedMark last = marks.get(budget);
+        boolean later = last == null
+                || mark.getEra() > last.getEra()
+                || (mark.getEra() == last.getEra() && mark.getGeneration() > last.getGeneration());
+        if (later) {
+            marks.put(budget, mark);
+        }
+    }
+
+    /** Returns the tokens that each budget of a ledger had committed when this router last heard of it. */
+    List<CommittedMark> marks(int partition) {
+        return marks.values().stream()
+                .filter(mark -> partitionOf(mark.getBudget()) == partition)
+                .toList();
+    }
+
+    /** Returns whether the store names its era, so that a loss of what it had acknowledged is noticed. */
+    boolean storeNamesEra() {
+        return storeEra.current() != StoreEra.UNKNOWN;
+    }
+
+    /** Returns the ledgers that this router reads and writes. */
+    LedgerPartitions ledgers() {
+        return ledgers;
+    }
+
+    /** Returns whether this router commits the changes of a ledger, for others too. */
+    boolean isCombiner(int partition) {
+        return combinerClient.combinerOf(partition).isEmpty();
+    }
+
     /** Returns whether no change is queued or waiting for a response. */
     public boolean idle() {
         return outbox.isEmpty() && sentCalls.isEmpty();
--- a/src/main/java/org/radishspan/budget/LedgerOps.java
+++ b/src/main/java/org/radishspan/budget/LedgerOps.java
@@ -13,12 +13,18 @@
 import org.radishspan.proto.GrantOp;
 import org.radishspan.proto.LedgerOp;
 import org.radishspan.proto.LedgerResult;
+import org.radishspan.proto.RouterReport;
 import org.radishspan.proto.SettleOp;
 import org.radishspan.proto.ShareState;
 import org.radishspan.store.SharedObject.Mutation;
+import org.radishspan.store.StoreEra;
 
 /** Converts changes of a ledger, and their results, to and from the messages that routers exchange. */
 final class LedgerOps {
+    private static final Failure RESTORING = Failure.notRun(
+            ErrorKind.PLATFORM_UNAVAILABLE,
+            "the ledger is being restored, because the platform's store came back from an older copy");
+
     private LedgerOps() {}
 
     static LedgerOp grant(String budget, Ledger.GrantRequest request, double freeFraction, SharePolicy.Tuning tuning) {
@@ -96,8 +102,23 @@
                 .build();
     }
 
-    /** Returns the mutation of the ledger that a change describes. */
+    static LedgerOp report(RouterReport report) {
+        return LedgerOp.newBuilder().setReport(report).build();
+    }
+
+    /**
+     * Returns the mutation of the ledger that a change describes. While the ledger is being restored, it accepts only reports
+     * and refuses all other changes as unavailable.
+     */
     static Mutation<LedgerBook> mutation(LedgerOp op) {
+        if (op.hasReport()) {
+            return LedgerRestoration.report(op.getReport());
+        }
+        Mutation<LedgerBook> mutation = mutationInForce(op);
+        return book -> book.isBeingRestored() ? Either.left(RESTORING) : mutation.apply(book);
+    }
+
+    private static Mutation<LedgerBook> mutationInForce(LedgerOp op) {
         return switch (op.getChangeCase()) {
             case GRANT -> Ledger.grant(op.getBudget(), request(op.getGrant()), rule(op.getGrant()));
             case GIVE_BACK -> {
@@ -117,7 +138,7 @@
                         op.getAdoptLimit().getLimitTokens(),
                         op.getAdoptLimit().getConfigurationVersion());
             case CLOSE_EARLIER -> Ledger.closeEarlierShares(processStart(op.getCloseEarlier()));
-            case CHANGE_NOT_SET ->
+            case REPORT, CHANGE_NOT_SET ->
                 book -> Either.left(
                         Failure.notRun(ErrorKind.INVALID_REQUEST, "the ledger change contains no operation"));
         };
@@ -165,23 +186,41 @@
             case GIVE_BACK -> op.getGiveBack().getShareId();
             case SETTLE -> op.getSettle().getShareId();
             case RETIRE -> op.getRetire().getShareId();
-            case ADOPT_LIMIT, CLOSE_EARLIER, CHANGE_NOT_SET -> "";
+            case ADOPT_LIMIT, CLOSE_EARLIER, REPORT, CHANGE_NOT_SET -> "";
         };
     }
 
-    /** Returns the result message of a change: its failure, or the new state of the account and the share. */
-    static LedgerResult result(LedgerOp op, Either<Failure, LedgerBook> outcome) {
+    /**
+     * Returns the result message of a change: its failure, or the new state of the account and the share.
+     *
+     * @param era the era of the store in which the change was committed or refused
+     */
+    static LedgerResult result(LedgerOp op, Either<Failure, LedgerBook> outcome, long era) {
+        LedgerResult.Builder builder = LedgerResult.newBuilder();
+        if (era != StoreEra.UNKNOWN) {
+            builder.setEra(era);
+        }
         if (outcome.isLeft()) {
             Failure failure = outcome.getLeft();
-            return LedgerResult.newBuilder()
-                    .setErrorKind(failure.kind().wireName())
+            return builder.setErrorKind(failure.kind().wireName())
                     .setErrorMessage(failure.message())
                     .build();
         }
-        LedgerResult.Builder builder = LedgerResult.newBuilder();
-        AccountState account = outcome.get().account(op.getBudget());
+        LedgerBook book = outcome.get();
+        builder.setGeneration(book.version().generation());
+        if (op.hasReport() && !book.isBeingRestored()) {
+            op.getReport()
+                    .getSharesList()
+                    .forEach(reported -> Ledger.share(
+                                    book,
+                                    reported.getBudget(),
+                                    reported.getShare().getShareId())
+                            .ifPresent(builder::addReportedShares));
+        }
+        AccountState account = book.account(op.getBudget());
         if (account != null) {
-            Optional<ShareState> share = Ledger.share(outcome.get(), op.getBudget(), shareId(op));
+            builder.setCommittedTokens(Accounts.committedTokens(account));
+            Optional<ShareState> share = Ledger.share(book, op.getBudget(), shareId(op));
             share.ifPresent(builder::setShare);
             builder.setHorizonMillis(account.getHorizonMillis());
             builder.setUnspentTokens(Accounts.unspentTokens(account));
@@ -193,6 +232,11 @@
         return builder.build();
     }
 
+    /** Returns whether a ledger did not accept a change because it is being restored; the change can be sent again. */
+    static boolean isUnavailable(LedgerResult result) {
+        return result.getErrorKind().equals(ErrorKind.PLATFORM_UNAVAILABLE.wireName());
+    }
+
     /** Returns the failure that a result contains; empty if the change was committed. */
     static Optional<Failure> failure(LedgerResult result) {
         if (result.getErrorKind().isEmpty()) {
--- a/src/main/java/org/radishspan/budget/LedgerPartitions.java
+++ b/src/main/java/org/radishspan/budget/LedgerPartitions.java
@@ -18,7 +18,7 @@
             throw new IllegalArgumentException("count must be at least 1: " + count);
         }
         for (int i = 0; i < count; i++) {
-            partitions.add(new SharedObject<>("ledger/" + i, Ledger.CODEC, ports));
+            partitions.add(new SharedObject<>("ledger/" + i, Ledger.CODEC, LedgerRestoration::reconcile, ports));
         }
     }
 
--- a/src/main/java/org/radishspan/budget/Share.java
+++ b/src/main/java/org/radishspan/budget/Share.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -11,6 +12,8 @@
 import org.jspecify.annotations.Nullable;
 import org.radishspan.error.Failure;
 import org.radishspan.proto.LedgerResult;
+import org.radishspan.proto.ShareReport;
+import org.radishspan.proto.ShareState;
 import org.radishspan.proto.SpendingBound;
 
 /**
@@ -80,6 +83,24 @@
     /** The total that bills and reservations may reach at the moment; the whole grant if no bound is valid. */
     long spendingLimitTokens;
 
+    /** Whether a ledger that is being restored has not confirmed the last report of this share. */
+    boolean reportPending;
+
+    /** The sequence number of the settlement that the last report contains. */
+    long reportedSettleSeq;
+
+    /** The spending bound that was stated with the last report and is in force once the restoration has ended. */
+    SpendingBound reportedBound = SpendingBound.getDefaultInstance();
+
+    /** No settlement is sent before this time. */
+    long settleRetryAtMillis;
+
+    /** The total that bills and reservations may reach until that report is confirmed. */
+    long pledgedTokens;
+
+    /** The steady-clock time until which the share may be spent unless the ledger confirms another change. */
+    long spendableUntilMillis = Long.MAX_VALUE;
+
     final SpendingBounds bounds = new SpendingBounds();
     final List<String> holders = new ArrayList<>();
     final Deque<PendingBill> bills = new ArrayDeque<>();
@@ -130,6 +151,67 @@
 
     void refreshLimit(long nowMillis) {
         spendingLimitTokens = bounds.limitTokens(grantedTokens, nowMillis);
+        if (reportPending) {
+            spendingLimitTokens = Math.min(spendingLimitTokens, pledgedTokens);
+        }
+        if (nowMillis >= spendableUntilMillis) {
+            spendingLimitTokens = Math.min(spendingLimitTokens, usedTokens());
+        }
+    }
+
+    /**
+     * Returns the state of this share for a ledger that the store may have lost. Results of changes that were sent before have
+     * lower sequence numbers and are ignored from now on, by this router and by the ledger.
+     *
+     * @param bound the spending bound that is stated with the report
+     * @param pledged the total that bills and reservations may reach until the report is confirmed
+     */
+    ShareReport report(ShareSystem.Identity identity, SpendingBound bound, long pledged) {
+        requestSeq++;
+        settleSeq++;
+        requestInFlight = false;
+        settleInFlight = false;
+        retiring = false;
+        reportPending = true;
+        reportedSettleSeq = settleSeq;
+        reportedBound = bound;
+        pledgedTokens = pledged;
+        ShareState state = ShareState.newBuilder()
+                .setShareId(shareId)
+                .setIncarnation(identity.incarnation())
+                .setVm(identity.vm())
+                .setGrantedTokens(grantedTokens)
+                .setSpentTokens(spentTokens)
+                .setSettleSeq(settleSeq)
+                .setRequestSeq(requestSeq)
+                .setKeyedSpentTokens(resolvedKeyedTokens)
+                .setKeyedSeq(resolvedKeyedSeq)
+                .setDemandTokensPerSecond((long) demandTokensPerSecond)
+                .setBound(bound)
+                .build();
+        return ShareReport.newBuilder()
+                .setBudget(budget)
+                .setShare(state)
+                .setPledgedTokens(pledged)
+                .build();
+    }
+
+    /**
+     * Records that the ledger has confirmed a report of this share. Does nothing if another change was sent since.
+     *
+     * @param confirmed the share in the ledger; missing while the ledger is being restored
+     */
+    void onReportConfirmed(ShareReport report, Optional<ShareState> confirmed) {
+        if (!shareId.equals(report.getShare().getShareId())
+                || requestSeq != report.getShare().getRequestSeq()) {
+            return;
+        }
+        reportPending = false;
+        ledgerShort = false;
+        confirmed.ifPresent(state -> {
+            grantedTokens = Math.min(grantedTokens, state.getGrantedTokens());
+            bounds.onCommitted(report.getShare().getBound(), state.getBound());
+        });
     }
 
     /** Stores the state of the account that a result of the ledger reports. */
@@ -149,7 +231,12 @@
      */
     void onBoundCommitted(String requestedShareId, SpendingBound sent, LedgerResult result) {
         if (shareId.equals(requestedShareId) && result.hasShare()) {
-            bounds.onCommitted(sent, result.getShare().getBound());
+            SpendingBound inForce = result.getShare().getBound();
+            bounds.onCommitted(sent, inForce);
+            if (inForce.getAtMillis() >= reportedBound.getAtMillis()) {
+                // The result of the report did not show its bound, which a later one has replaced.
+                bounds.onCommitted(reportedBound, inForce);
+            }
         }
     }
 
@@ -299,6 +386,9 @@
         settleInFlight = false;
         hasLedgerState = false;
         retiring = false;
+        reportPending = false;
+        reportedSettleSeq = 0;
+        spendableUntilMillis = Long.MAX_VALUE;
         return lostBills;
     }
 }
--- a/src/main/java/org/radishspan/budget/SharePolicy.java
+++ b/src/main/java/org/radishspan/budget/SharePolicy.java
@@ -41,6 +41,7 @@
      * @param boundMillis how long a stated spending bound is valid; 0 to state no bounds, so that the whole grant can be
      *     spent at any time
      * @param urgentFraction the fraction of a budget's limit that is reserved for urgent calls; 0 for none
+     * @param maxUnconfirmedMillis how long a share may be spent after the last change that the ledger confirmed; 0 for no limit
      */
     public record Tuning(
             double demandSmoothing,
@@ -55,12 +56,13 @@
             long settleIntervalMillis,
             long noticeIntervalMillis,
             long boundMillis,
-            double urgentFraction) {
+            double urgentFraction,
+            long maxUnconfirmedMillis) {
         /**
          * The default: smooths the demand strongly, holds nothing before demand is measured, reports bills immediately and
          * states no spending bounds.
          */
-        public static final Tuning DEFAULT = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 0, 1_000, 0, 0);
+        public static final Tuning DEFAULT = new Tuning(0.03, 0, 0, 15_000, 0.9, 4, 0, 0, 0, 0, 1_000, 0, 0, 0);
 
         /** Returns this tuning without spending bounds and without a reserve for urgent calls. */
         public Tuning withoutBounds() {
@@ -77,7 +79,13 @@
                     settleIntervalMillis,
                     noticeIntervalMillis,
                     0,
-                    0);
+                    0,
+                    maxUnconfirmedMillis);
+        }
+
+        /** Returns until when a share may be spent whose last confirmed change was sent at the given time. */
+        long spendableUntilMillis(long sentAtMillis) {
+            return maxUnconfirmedMillis == 0 ? Long.MAX_VALUE : sentAtMillis + maxUnconfirmedMillis;
         }
     }
 
--- a/src/main/java/org/radishspan/budget/ShareSystem.java
+++ b/src/main/java/org/radishspan/budget/ShareSystem.java
@@ -1,16 +1,24 @@
 package org.radishspan.budget;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.function.IntSupplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
+import org.radishspan.proto.LedgerResult;
+import org.radishspan.proto.ShareReport;
+import org.radishspan.proto.ShareState;
+import org.radishspan.proto.SpendingBound;
 
 /**
  * Manages the shares of budgets that this router holds: it obtains, spends, settles and gives back their tokens.
@@ -74,6 +82,7 @@
     private final BillSettler billSettler;
     private final ShareCounters counters = new ShareCounters();
     private final ShareSizing sizing;
+    private IntConsumer reportRequest = partition -> {};
     private long createdShares;
     private long lastMeasuredAtMillis;
     private long nowMillis;
@@ -129,7 +138,7 @@
     /** Retires a share, or gives its unused tokens back as long as it cannot be retired. */
     private void giveBackAll(Share share) {
         share.urgentSettle = true;
-        if (share.requestInFlight) {
+        if (share.requestInFlight || share.reportPending) {
             return;
         }
         if (share.settled()) {
@@ -409,7 +418,7 @@
     private void adjust(Share share) {
         boolean due = nowMillis >= share.nextRequestAtMillis
                 || !share.waitingCalls.isEmpty() && nowMillis >= share.nextUrgentRequestAtMillis;
-        if (share.requestInFlight || !due || share.released && share.waitingCalls.isEmpty()) {
+        if (share.requestInFlight || share.reportPending || !due || share.released && share.waitingCalls.isEmpty()) {
             return;
         }
         if (nowMillis - share.lastUsedAtMillis >= tuning().idleMillis()
@@ -426,6 +435,13 @@
     }
 
     private void onShareLost(Share share) {
+        if (gateway.storeNamesEra()) {
+            // The store may have lost the share. Its tokens are spent on, so the ledger has to have it again.
+            share.requestInFlight = false;
+            share.settleInFlight = false;
+            reportRequest.accept(share.partition);
+            return;
+        }
         counters.sharesLost++;
         String lostId = share.shareId;
         LOGGER.atWarning().log(
@@ -446,7 +462,7 @@
      */
     public void onShortage(String budget, long tokens) {
         Share share = table.get(budget);
-        if (share == null || share.requestInFlight) {
+        if (share == null || share.requestInFlight || share.reportPending) {
             return;
         }
         long spareTokens = share.unusedTokens() - share.waitingCalls.totalTokens();
@@ -471,14 +487,24 @@
         }
         share.retiring = true;
         share.requestInFlight = true;
+        Ledger.Settlement lastSettlement = share.settlement();
         gateway.submit(
                 share.partition,
-                LedgerOps.retire(share.budget, share.settlement()),
-                result -> onRetired(share, share.shareId));
+                LedgerOps.retire(share.budget, lastSettlement),
+                result -> onRetired(share, lastSettlement, result));
     }
 
-    private void onRetired(Share share, String retiredId) {
-        if (!share.shareId.equals(retiredId)) {
+    private void onRetired(Share share, Ledger.Settlement lastSettlement, LedgerResult result) {
+        boolean expected = share.retiring
+                && share.shareId.equals(lastSettlement.shareId())
+                && share.settleSeq == lastSettlement.settleSeq();
+        if (!expected) {
+            return;
+        }
+        if (LedgerOps.isUnavailable(result)) {
+            share.retiring = false;
+            share.requestInFlight = false;
+            share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
             return;
         }
         if (share.waitingCalls.isEmpty()) {
@@ -488,6 +514,44 @@
         share.restart(nextShareId());
     }
 
+    /** Sets the receiver of requests to report the shares of a ledger, because the ledger does not have one of them. */
+    void setReportRequest(IntConsumer newReportRequest) {
+        reportRequest = newReportRequest;
+    }
+
+    /**
+     * Returns the shares of this router in a ledger, for a report. Until the report is confirmed, they are spent only up to
+     * what it pledges.
+     */
+    List<ShareReport> report(int partition) {
+        List<ShareReport> reports = new ArrayList<>();
+        for (Share share : table.rows()) {
+            if (share.partition != partition || share.requestSeq == 0) {
+                continue;
+            }
+            SpendingBound bound = grantRequester.newBound(share, share.grantedTokens);
+            long pledgedTokens = bound.getValidMillis() > 0 ? bound.getUsableTokens() : share.usedTokens();
+            reports.add(share.report(identity, bound, pledgedTokens));
+        }
+        return reports;
+    }
+
+    /** Processes the result of a report. */
+    void onReportConfirmed(List<ShareReport> reports, LedgerResult result, long sentAtMillis) {
+        Map<String, ShareState> confirmed = new HashMap<>();
+        result.getReportedSharesList().forEach(share -> confirmed.put(share.getShareId(), share));
+        for (ShareReport report : reports) {
+            Share share = table.get(report.getBudget());
+            if (share != null) {
+                share.onReportConfirmed(
+                        report,
+                        Optional.ofNullable(confirmed.get(report.getShare().getShareId())));
+                share.spendableUntilMillis = tuning().spendableUntilMillis(sentAtMillis);
+                share.refreshLimit(nowMillis);
+            }
+        }
+    }
+
     /** Returns whether this router holds no more shares. */
     public boolean retired() {
         return table.rows().isEmpty();
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -10,11 +10,13 @@
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.radishspan.budget.Ledger;
 import org.radishspan.budget.LedgerGateway;
 import org.radishspan.budget.LedgerPartitions;
+import org.radishspan.budget.RestorationSystem;
 import org.radishspan.budget.ShareSystem;
 import org.radishspan.budget.TokenClient;
 import org.radishspan.budget.TokenKeeper;
@@ -26,11 +28,13 @@
 import org.radishspan.deployment.TargetEntry;
 import org.radishspan.deployment.VmSettings;
 import org.radishspan.deployment.Workspace;
+import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.log.EventLog;
 import org.radishspan.peer.PeerCombiners;
 import org.radishspan.peer.PeerLink;
+import org.radishspan.peer.PeerReporters;
 import org.radishspan.peer.PeerSystem;
 import org.radishspan.peer.ShareKeepers;
 import org.radishspan.platform.ConfigurationCodec;
@@ -181,6 +185,7 @@
     private final PeerSystem peers;
     private final LedgerGateway gateway;
     private final ShareSystem shares;
+    private final RestorationSystem restoration;
     private final ShareKeepers keepers;
     private final TokenClient tokenClient;
     private final TokenKeeper tokenKeeper;
@@ -209,6 +214,8 @@
         this.settings = settings;
         this.self = self;
         this.startedAtMillis = ports.clockMillis().getAsLong();
+        Gauge.builder("radishspan.store.era", ports.storeEra(), StoreEra::current)
+                .register(ports.meters());
         long watchMillis = Math.max(MIN_WATCH_MILLIS, settings.bounds().undisturbedMillis() - SILENCE_DETECTION_MILLIS);
         this.configuration = new ConfigurationInForce(ConfigurationCodec.NAME, ports.log(), this::onConfiguration);
         this.configurationWatch = watch(
@@ -228,6 +235,7 @@
                 watch(TargetCodec.KIND, TargetCodec::decode, targetDirectory, () -> feed().waitMillis(watchMillis));
         this.objectPorts = new SharedObject.Ports(
                 ports.store(),
+                ports.storeEra(),
                 new CallBudget(
                         settings.store().fleetReadsPerSecond(), settings.store().fleetReadsPerSecond()),
                 new CallBudget(
@@ -255,14 +263,22 @@
         // answer for
         // three times as long.
         feed.add(routerWatch, 3 * ROUTERS_WATCH_MILLIS);
-        this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers), COMBINER_TIMEOUT_MILLIS);
+        this.gateway = new LedgerGateway(ledgers, new PeerCombiners(peers), ports.storeEra(), COMBINER_TIMEOUT_MILLIS);
+        ShareSystem.Identity identity = new ShareSystem.Identity(self.vm(), self.incarnation(), ports.bootId());
         this.shares = new ShareSystem(
-                new ShareSystem.Identity(self.vm(), self.incarnation(), ports.bootId()),
+                identity,
                 gateway,
                 ShareSettings.POLICY,
                 this::announceShortage,
                 (holder, budget, settlement, accepted) -> accepted.accept(false),
                 count -> List.of());
+        this.restoration = new RestorationSystem(
+                identity,
+                gateway,
+                shares,
+                new RestorationSystem.Ports(
+                        ports.storeEra(), new PeerReporters(peers), this::repeatLedgerChanges, ports.log()),
+                ShareSettings.MAX_UNCONFIRMED_MILLIS);
         this.keepers = new ShareKeepers(peers, self.vm());
         shares.useTuning(ShareSettings.TUNING, keepers::count);
         this.tokenClient = new TokenClient(self.incarnation(), shares, keepers);
@@ -348,17 +364,28 @@
             configuredAtMillis = ports.clockMillis().getAsLong();
         }
         adopted.services().forEach(service -> targets.setMaxConnections(service.name(), service.maxConnections()));
-        if (!closeEarlierSubmitted) {
-            closeEarlierSubmitted = true;
-            gateway.closeEarlierShares(
-                    new Ledger.ProcessStart(self.vm(), self.incarnation(), ports.bootId(), startedAtMillis),
-                    this::onEarlierSharesClosed);
-        }
+        closeEarlierShares();
         if (routersKnown()) {
             updateKeptBudgets(adopted);
         }
     }
 
+    private void closeEarlierShares() {
+        if (closeEarlierSubmitted) {
+            return;
+        }
+        closeEarlierSubmitted = true;
+        gateway.closeEarlierShares(
+                new Ledger.ProcessStart(self.vm(), self.incarnation(), ports.bootId(), startedAtMillis),
+                this::onEarlierSharesClosed);
+    }
+
+    /** Repeats the changes that this router makes once, because the store may have lost them. */
+    private void repeatLedgerChanges() {
+        adoptedVersions.clear();
+        closeEarlierSubmitted = false;
+    }
+
     private boolean routersKnown() {
         return routerWatch.hasListed() || listWaitOver();
     }
@@ -391,6 +418,10 @@
     }
 
     private void onEarlierSharesClosed(Optional<Failure> failure) {
+        if (isLedgerUnavailable(failure)) {
+            closeEarlierSubmitted = false;
+            return;
+        }
         ports.log()
                 .belief("earlier_shares_closed")
                 .with("vm", self.vm())
@@ -399,6 +430,11 @@
                 .write();
     }
 
+    /** Returns whether a ledger did not accept a change because it is being restored; the change is then repeated. */
+    private static boolean isLedgerUnavailable(Optional<Failure> failure) {
+        return failure.isPresent() && failure.get().kind() == ErrorKind.PLATFORM_UNAVAILABLE;
+    }
+
     private void adoptLimit(String budget, long limitTokens, long version) {
         if (Long.valueOf(version).equals(adoptedVersions.put(budget, version))) {
             return;
@@ -409,6 +445,9 @@
                 version,
                 failure -> failure.ifPresent(refusal -> {
                     adoptedVersions.remove(budget);
+                    if (isLedgerUnavailable(failure)) {
+                        return;
+                    }
                     ports.log()
                             .belief("limit_refused")
                             .with("budget", budget)
@@ -530,10 +569,14 @@
             nextFleetUpdateAtMillis = nowMillis + FLEET_UPDATE_MILLIS;
             notices.tick(nowMillis);
             updateStoreRates();
+            if (configuration.current().isPresent()) {
+                closeEarlierShares();
+            }
             if (!draining) {
                 configuration.current().ifPresent(this::updateKeptBudgets);
             }
         }
+        restoration.tick(nowMillis);
         shares.tick(nowMillis);
         if (routersKnown()) {
             gateway.tick(nowMillis);
@@ -584,7 +627,7 @@
 
         @Override
         public void onLedgerNotice(int partition) {
-            // Only holders of bills of other routers read the ledger on a notice, and this router is never one.
+            restoration.onReportRequested(partition);
         }
 
         @Override
--- a/src/main/java/org/radishspan/front/ShareSettings.java
+++ b/src/main/java/org/radishspan/front/ShareSettings.java
@@ -77,6 +77,12 @@
     /** Minimum time between two notices that a share is short, because each notice makes all other routers answer. */
     private static final long NOTICE_GAP_MILLIS = 200;
 
+    /**
+     * How long a share may be spent after the ledger last confirmed a change of it. A restored ledger waits that long for a
+     * router that is silent. Longer than any cut or outage at the users' sites, in which shares have to last.
+     */
+    static final long MAX_UNCONFIRMED_MILLIS = 20_000;
+
     /** Maximum fraction of the free tokens in one grant: a grant leaves as much as it takes. */
     private static final double FREE_FRACTION = 0.5;
 
@@ -109,7 +115,8 @@
             SETTLE_GAP_MILLIS,
             NOTICE_GAP_MILLIS,
             BOUND_MILLIS,
-            URGENT_FRACTION);
+            URGENT_FRACTION,
+            MAX_UNCONFIRMED_MILLIS);
 
     /** The policy for shares on the users' platform. */
     public static final SharePolicy POLICY = new SharePolicy(
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -61,7 +61,7 @@
         /** Handles the results of the ledger changes that this router requested. */
         void onLedgerAnswer(LedgerAnswer answer);
 
-        /** Reads a ledger again, because a share in it was closed. */
+        /** Reads a ledger again because a share in it was closed, or reports what this router knows of it. */
         void onLedgerNotice(int partition);
 
         /**
--- a/src/main/java/org/radishspan/peer/PeerTable.java
+++ b/src/main/java/org/radishspan/peer/PeerTable.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.agrona.collections.Object2ObjectHashMap;
 import org.jspecify.annotations.Nullable;
@@ -37,6 +39,7 @@
     private final Object2ObjectHashMap<String, Peer> rows = new Object2ObjectHashMap<>();
     private boolean listReceived;
     private boolean selfStoreUnreachable;
+    private long startedAtMillis;
     private long nowMillis;
 
     PeerTable(PeerSystem.Self self) {
@@ -68,9 +71,38 @@
     }
 
     void setNow(long millis) {
+        startedAtMillis = startedAtMillis == 0 ? millis : startedAtMillis;
         nowMillis = millis;
     }
 
+    /** Returns the processes from which a message was received within the given time. */
+    public Set<String> receivedWithin(long millis) {
+        Set<String> incarnations = new HashSet<>();
+        for (Peer peer : rows.values()) {
+            boolean recent = peer.lastReceivedMillis > 0 && nowMillis - peer.lastReceivedMillis < millis;
+            if (recent && !peer.incarnation.isEmpty()) {
+                incarnations.add(peer.incarnation);
+            }
+        }
+        return incarnations;
+    }
+
+    /**
+     * Returns whether a process may be running: no other process is known to have started on its VM, the VM is listed, and it
+     * has not been silent for the given time.
+     */
+    public boolean mayBeRunning(String vm, String incarnation, long silentMillis) {
+        if (vm.equals(self.vm())) {
+            return incarnation.equals(self.incarnation());
+        }
+        Peer peer = rows.get(vm);
+        if (peer == null) {
+            return !listReceived;
+        }
+        boolean replaced = !peer.incarnation.isEmpty() && !peer.incarnation.equals(incarnation);
+        return !replaced && nowMillis - Math.max(peer.lastReceivedMillis, startedAtMillis) < silentMillis;
+    }
+
     @Nullable
     Peer byIncarnation(String incarnation) {
         for (Peer peer : rows.values()) {
--- a/src/main/java/org/radishspan/store/SharedObject.java
+++ b/src/main/java/org/radishspan/store/SharedObject.java
@@ -56,10 +56,28 @@
      */
     public record Codec<S>(Function<byte[], S> decode, Function<S, byte[]> encode) {}
 
+    /**
+     * Compares the stored state with what the VM knows, after the store may have come back from an older copy.
+     *
+     * @param <S> the type of the state
+     */
+    @FunctionalInterface
+    public interface Reconciler<S> {
+        /**
+         * Returns the state that replaces the stored one with the next write, or the stored instance to keep it.
+         *
+         * @param stored the state in the store
+         * @param known the state that this VM last knew to be stored; null if it has none
+         * @param era the era of the store
+         */
+        S reconcile(S stored, @Nullable S known, long era);
+    }
+
     /**
      * The dependencies that the VM provides to the object.
      *
      * @param store the platform's store
+     * @param storeEra the era of the store, which the store keeps up to date
      * @param reads the budget of this VM for reads
      * @param writes the budget of this VM for writes
      * @param random the source of the jitter of retries
@@ -68,20 +86,21 @@
      */
     public record Ports(
             VersionedObjects store,
+            StoreEra storeEra,
             CallBudget reads,
             CallBudget writes,
             UniformRandomProvider random,
             long commitGapMillis,
             LongSupplier maxBackoffMillis) {
 
-        /** Creates the dependencies of an object that few VMs call, with the default maximum back-off. */
+        /** Creates the dependencies of an object in a store that names no era, with the default maximum back-off. */
         public Ports(
                 VersionedObjects store,
                 CallBudget reads,
                 CallBudget writes,
                 UniformRandomProvider random,
                 long commitGapMillis) {
-            this(store, reads, writes, random, commitGapMillis, () -> DEFAULT_MAX_BACKOFF_MILLIS);
+            this(store, new StoreEra(), reads, writes, random, commitGapMillis, () -> DEFAULT_MAX_BACKOFF_MILLIS);
         }
     }
 
@@ -159,6 +178,10 @@
         }
     }
 
+    /** A write that was based on a version of an earlier era may have replaced another state, or is lost. */
+    private static final Failure OTHER_ERA = Failure.unknown(
+            ErrorKind.PLATFORM_UNAVAILABLE, "the platform's store came back from an older copy during the write");
+
     private static final long INITIAL_BACKOFF_MILLIS = 10;
 
     /** Short compared with an outage, so that a ledger is available soon after the store has recovered. */
@@ -169,11 +192,20 @@
 
     private final String key;
     private final Codec<S> codec;
+    private final Reconciler<S> reconciler;
     private final Ports ports;
     private final Deque<Ticket> queue = new ArrayDeque<>();
     private final Counters counters = new Counters();
     private @Nullable S state;
+
+    /** The state that was last known to be stored. */
+    private @Nullable S known;
+
     private long version;
+
+    /** The era to which the version belongs. */
+    private long era = StoreEra.UNKNOWN;
+
     private boolean callInFlight;
     private boolean stale = true;
     private boolean contended;
@@ -188,8 +220,14 @@
 
     /** Creates the object. Nothing is read before the first mutation or the first call of {@link #refresh}. */
     public SharedObject(String key, Codec<S> codec, Ports ports) {
+        this(key, codec, (stored, ignored, storeEra) -> stored, ports);
+    }
+
+    /** Creates the object as above, with a reconciler that is called for each state that is read. */
+    public SharedObject(String key, Codec<S> codec, Reconciler<S> reconciler, Ports ports) {
         this.key = key;
         this.codec = codec;
+        this.reconciler = reconciler;
         this.ports = ports;
     }
 
@@ -203,7 +241,7 @@
         return counters;
     }
 
-    /** Returns the state last read or written, or null before the first read. */
+    /** Returns the state last read, with what the next write restores, or written; null before the first read. */
     public @Nullable S state() {
         return state;
     }
@@ -259,6 +297,8 @@
             return;
         }
         S current = state;
+        // A version of an earlier era may name another state by now.
+        stale = stale || era != ports.storeEra().current();
         if (stale || current == null || (contended && !readSinceWrite)) {
             read();
             return;
@@ -288,15 +328,24 @@
         submitCountAtLastRead = submitCountAtRead;
         readSinceWrite = true;
         StoredObject stored = reply.get();
+        long currentEra = ports.storeEra().current();
         contended = stored.version() != version;
         counters.valueBytes = stored.value().length;
-        if (stored.version() >= version) {
-            state = codec.decode().apply(stored.value());
+        if (stored.version() >= version || era != currentEra) {
+            S read = codec.decode().apply(stored.value());
+            S reconciled = reconciler.reconcile(read, known, currentEra);
+            known = isSame(reconciled, read) ? read : known;
+            state = reconciled;
             version = stored.version();
+            era = currentEra;
         }
     }
 
     @SuppressWarnings("ReferenceEquality")
+    private static <S> boolean isSame(@Nullable S one, @Nullable S other) {
+        return one == other;
+    }
+
     private void commit(S current) {
         List<Ticket> batch = new ArrayList<>();
         List<Either<Failure, S>> results = new ArrayList<>();
@@ -312,13 +361,14 @@
             results.add(result);
             next = result.getOrElse(next);
         }
-        if (next == current && !readSinceSubmitted(batch)) {
+        boolean unchanged = isSame(next, current) && isSame(current, known);
+        if (unchanged && !readSinceSubmitted(batch)) {
             // The state was read before some of the mutations were submitted. That they change nothing has to be
             // verified against a state read afterwards.
             read();
             return;
         }
-        if (next == current) {
+        if (unchanged) {
             queue.clear();
             finishAll(batch, results, current);
             return;
@@ -348,7 +398,11 @@
         }
         byte[] value = codec.encode().apply(next);
         counters.valueBytes = value.length;
-        ports.store().put(key, version, value, reply -> onWritten(reply, batch, results, next));
+        long writeEra = era;
+        ports.store().put(key, version, value, reply -> {
+            boolean sameEra = writeEra == ports.storeEra().current();
+            onWritten(reply.filterOrElse(ignored -> sameEra, ignored -> OTHER_ERA), batch, results, next);
+        });
     }
 
     private void onWritten(Either<Failure, Long> reply, List<Ticket> batch, List<Either<Failure, S>> results, S next) {
@@ -362,6 +416,7 @@
         notBeforeMillis = nowMillis + ports.commitGapMillis();
         if (reply.get() > version) {
             state = next;
+            known = next;
             version = reply.get();
         }
         finishAll(batch, results, next);
--- a/src/test/java/org/radishspan/budget/LedgerGatewayTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerGatewayTest.java
@@ -14,6 +14,7 @@
 import org.radishspan.standin.InMemoryObjectStore;
 import org.radishspan.store.CallBudget;
 import org.radishspan.store.SharedObject;
+import org.radishspan.store.StoreEra;
 import org.radishspan.store.StoredObject;
 import org.radishspan.store.VersionedObjects;
 import org.testng.annotations.Test;
@@ -40,7 +41,7 @@
                         new CallBudget(1_000, 1_000),
                         RandomSource.XO_SHI_RO_256_PP.create(1),
                         0));
-        private final LedgerGateway gateway = new LedgerGateway(ledgers, this, RESPONSE_TIMEOUT_MILLIS);
+        private final LedgerGateway gateway = new LedgerGateway(ledgers, this, new StoreEra(), RESPONSE_TIMEOUT_MILLIS);
         private String combiner = "other";
         private String combinerAfterTimeout = "other";
         private long nowMillis = 1_000;
--- a/src/test/java/org/radishspan/budget/ShareSystemTest.java
+++ b/src/test/java/org/radishspan/budget/ShareSystemTest.java
@@ -23,7 +23,7 @@
 
     private static SharePolicy.Tuning tuning(long boundMillis, double urgentFraction) {
         return new SharePolicy.Tuning(
-                0.1, 4, 0.25, 600_000, 0.8, 1, 1.2, 0.1, 1_000, 400, 200, boundMillis, urgentFraction);
+                0.1, 4, 0.25, 600_000, 0.8, 1, 1.2, 0.1, 1_000, 400, 200, boundMillis, urgentFraction, 0);
     }
 
     private static ShareFleet fleet(long limitTokens, long boundMillis, double urgentFraction) {
--- a/src/test/java/org/radishspan/budget/TokenClientTest.java
+++ b/src/test/java/org/radishspan/budget/TokenClientTest.java
@@ -34,7 +34,7 @@
                 2,
                 100_000,
                 new SharePolicy(8_000, 0.5, 0.9, 256, 800, 100, 500, 0),
-                new SharePolicy.Tuning(0.1, 4, 0.25, 600_000, 0.8, 1, 1.2, 0.1, 1_000, 400, 200, 2_300, 0));
+                new SharePolicy.Tuning(0.1, 4, 0.25, 600_000, 0.8, 1, 1.2, 0.1, 1_000, 400, 200, 2_300, 0, 0));
         private final Map<String, TokenKeeper> keepers = new HashMap<>();
         private final Deque<Runnable> messages = new ArrayDeque<>();
         private final List<String> requests = new ArrayList<>();
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -35,6 +35,7 @@
 import org.radishspan.peer.PeerLink;
 import org.radishspan.platform.ConfigurationCodec;
 import org.radishspan.platform.HttpTargetProtocol;
+import org.radishspan.platform.RouterCodec;
 import org.radishspan.platform.TargetCodec;
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.PeerMessage;
@@ -393,7 +394,7 @@
     private double lostFraction;
     private long served;
     private long revision = 1;
-    private long era = 1;
+    private long era = StoreEra.UNKNOWN;
     private @Nullable StoreCopy storeCopy;
     private long nowMicros = 1_000_000;
     private long eventCount;
@@ -789,6 +790,34 @@
         nodes.get(vm).isolated = true;
     }
 
+    /** Connects every router to the store that is not disconnected from the other routers. */
+    void reconnectOthers() {
+        nodes.forEach(node -> node.storeDisconnected = node.isolated);
+    }
+
+    /** Connects all routers to the store and to each other. */
+    void reconnectAll() {
+        nodes.forEach(node -> {
+            node.storeDisconnected = false;
+            node.isolated = false;
+        });
+    }
+
+    /** Returns the number of routers that the store lists. */
+    int listedRouters() {
+        return kinds.getOrDefault(RouterCodec.KIND, new TreeMap<>()).size();
+    }
+
+    /** Returns the number of the VM whose router commits the changes of the ledger for the others. */
+    int combiner() {
+        for (Node node : nodes) {
+            if (node.router != null && node.router.peers().table().combinerOf(0).isEmpty()) {
+                return node.number;
+            }
+        }
+        throw new IllegalStateException("no router commits the changes of the ledger");
+    }
+
     /** Returns the number of calls to the store by operation and kind of object, and resets the counts. */
     Map<String, Integer> takeStoreCalls() {
         Map<String, Integer> taken = new TreeMap<>(storeCalls);
@@ -899,6 +928,11 @@
         });
     }
 
+    /** Lets the store name its era in all answers. To be called before the first event is handled. */
+    void nameEras() {
+        era = 1;
+    }
+
     /** Makes a copy of the store, from which {@link #restoreStore} restores it. */
     void copyStore() {
         Map<String, TreeMap<String, JsonNode>> copied = new HashMap<>();
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -1,5 +1,6 @@
 package org.radishspan.front;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalDouble;
@@ -474,6 +475,17 @@
 
     /** A store that comes back from an older copy. */
     public static class Restores {
+        private static final long AWAY_MILLIS = 1_000;
+
+        private static FrontFleet fleet(FrontFleet.Layout layout, int seed) {
+            FrontFleet fleet = new FrontFleet(layout, seed);
+            fleet.nameEras();
+            return fleet;
+        }
+
+        /** Of the requests owed, fewer than this part may be refused for want of tokens. */
+        private static final double MIN_SERVED_FRACTION = 0.99;
+
         /** Time limit for a configuration after the store's return: config_apply_ms and contact_ms of these settings. */
         private static final long CONFIG_APPLY_MILLIS = 3_000 + 3_000;
 
@@ -488,7 +500,7 @@
          */
         @Test(dataProvider = "fleetSizes")
         public void hideNoConfigurationWhoseRevisionWasGivenOutBefore(int routers) {
-            FrontFleet fleet = new FrontFleet(new FrontFleet.Layout(routers, 3, 2, 10, 600, 125_000, 200), 1);
+            FrontFleet fleet = fleet(new FrontFleet.Layout(routers, 3, 2, 10, 600, 125_000, 200), 1);
             fleet.advance(STARTUP_MILLIS);
             fleet.copyStore();
             fleet.configure(8);
@@ -502,6 +514,120 @@
             fleet.advance(CONFIG_APPLY_MILLIS);
             assertEquals(fleet.routersBehind(12), List.of());
         }
+
+        /** What happens to the routers while the store comes back. */
+        private enum Beside {
+            NOTHING,
+            /** The router that had committed the last changes ends, so that only the holders of shares know of them. */
+            COMBINER_KILLED,
+            /** No router is left that knows more than the copy. */
+            ALL_KILLED,
+            /** The router that had committed the last changes goes on with what it knows, and hears of the era late. */
+            COMBINER_CUT_OFF,
+            MESSAGES_LOST,
+            SECOND_RESTORE
+        }
+
+        @DataProvider
+        public Object[][] restores() {
+            List<Object[]> rows = new ArrayList<>();
+            for (Beside beside : Beside.values()) {
+                rows.add(new Object[] {beside, 3, 12, 4_000});
+                rows.add(new Object[] {beside, 3, 20, 2_000});
+                rows.add(new Object[] {beside, 7, 12, 4_000});
+                rows.add(new Object[] {beside, 7, 20, 6_000});
+            }
+            return rows.toArray(new Object[0][]);
+        }
+
+        /**
+         * The ledger of the copy had smaller grants and totals than the routers knew. It granted the difference once more, and
+         * routers whose settlements it refused dropped what they had spent.
+         */
+        @Test(dataProvider = "restores")
+        public void grantNoTokensThatWereGrantedBefore(
+                Beside beside, int routers, int budgetSeconds, int copyAgeMillis) {
+            for (int seed = 1; seed <= 2; seed++) {
+                FrontFleet fleet = fleet(new FrontFleet.Layout(routers, 3, 4, 60, budgetSeconds, 125_000, 200), seed);
+                fleet.advance(3_000);
+                fleet.runCalls(seed * 2_000);
+                fleet.copyStore();
+                fleet.runCalls(copyAgeMillis);
+                restore(fleet, beside, routers);
+                fleet.runCalls(25_000);
+                assertEquals(fleet.overspent(), List.of(), "seed " + seed);
+            }
+        }
+
+        private static void restore(FrontFleet fleet, Beside beside, int routers) {
+            if (beside == Beside.COMBINER_CUT_OFF) {
+                fleet.isolate(fleet.combiner());
+            }
+            fleet.setRoutersWithoutStore(routers);
+            fleet.runCalls(AWAY_MILLIS);
+            if (beside == Beside.COMBINER_KILLED) {
+                fleet.kill(fleet.combiner(), 1_500);
+            }
+            if (beside == Beside.ALL_KILLED) {
+                for (int router = 0; router < routers; router++) {
+                    fleet.kill(router, 1_500);
+                }
+            }
+            fleet.loseMessages(beside == Beside.MESSAGES_LOST ? 0.2 : 0);
+            fleet.restoreStore();
+            fleet.reconnectOthers();
+            if (beside == Beside.COMBINER_CUT_OFF) {
+                fleet.runCalls(4_000);
+                fleet.reconnectAll();
+            }
+            if (beside == Beside.SECOND_RESTORE) {
+                fleet.runCalls(1_500);
+                fleet.restoreStore();
+            }
+        }
+
+        /** Calls are served from the shares while the ledger is restored, and no tokens are forfeited. */
+        @Test(dataProvider = "fleetSizes")
+        public void refuseNoCallForWantOfTokens(int routers) {
+            FrontFleet fleet = fleet(new FrontFleet.Layout(routers, 3, 4, 60, 100, 125_000, 200), 1);
+            fleet.advance(STARTUP_MILLIS);
+            fleet.runCalls(10_000);
+            fleet.copyStore();
+            fleet.runCalls(3_000);
+            restore(fleet, Beside.NOTHING, routers);
+            FrontFleet.Outcome outcome = fleet.runCalls(20_000);
+            assertTrue(outcome.servedFraction() >= MIN_SERVED_FRACTION, outcome + " " + fleet.refusals());
+            for (int workspace = 0; workspace < 4; workspace++) {
+                assertEquals(fleet.forfeitedSeconds(workspace), 0.0, "workspace " + workspace);
+            }
+        }
+
+        /** A limit that the configuration raised after the copy was made is in the ledger again soon after. */
+        @Test
+        public void undoNoTopUp() {
+            FrontFleet fleet = fleet(new FrontFleet.Layout(6, 3, 2, 30, 100, 125_000, 200), 1);
+            fleet.advance(STARTUP_MILLIS);
+            fleet.copyStore();
+            fleet.configure(9);
+            fleet.runCalls(2_000);
+            assertEquals(fleet.limitVersion(0), 9);
+            fleet.restoreStore();
+            fleet.configure(9);
+            fleet.runCalls(4_000);
+            assertEquals(fleet.limitVersion(0), 9);
+        }
+
+        /** The entry of a router that the store lost before the router had read it was never written again. */
+        @Test
+        public void removeNoRouterFromTheList() {
+            FrontFleet fleet = fleet(new FrontFleet.Layout(4, 2, 2, 30, 100, 125_000, 200), 1);
+            fleet.copyStore();
+            fleet.advance(STARTUP_MILLIS);
+            fleet.restoreStore();
+            fleet.configure(1);
+            fleet.advance(12_000);
+            assertEquals(fleet.listedRouters(), 4);
+        }
     }
 
     /** Overlapping faults, chosen at random from a seed. */
@@ -519,6 +645,31 @@
             return seeds;
         }
 
+        @Test(dataProvider = "seeds")
+        public void neverLeadToOverspendingWhenTheStoreIsRestoredToo(int seed) {
+            UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+            FrontFleet fleet =
+                    new FrontFleet(new FrontFleet.Layout(ROUTERS, 3, 4, 60, BUDGET_SECONDS, 125_000, 200), seed);
+            fleet.nameEras();
+            fleet.advance(3_000);
+            fleet.copyStore();
+            for (int step = 0; step < STEPS; step++) {
+                switch (random.nextInt(12)) {
+                    case 0 -> fleet.kill(random.nextInt(ROUTERS), 200 + random.nextInt(2_000));
+                    case 1 -> fleet.setRoutersWithoutStore(random.nextInt(ROUTERS + 1));
+                    case 2 -> fleet.setRoutersWithoutStore(0);
+                    case 3 -> fleet.loseMessages(random.nextInt(2) * 0.2);
+                    case 4, 5, 6 -> fleet.copyStore();
+                    case 7 -> fleet.restoreStore();
+                    default -> {
+                        // No new fault in this step.
+                    }
+                }
+                fleet.runCalls(500);
+                assertEquals(fleet.overspent(), List.of(), "after step " + step);
+            }
+        }
+
         @Test(dataProvider = "seeds")
         public void neverLeadToOverspendingOfABudget(int seed) {
             UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(seed);
--- a/src/test/java/org/radishspan/store/SharedObjectTest.java
+++ b/src/test/java/org/radishspan/store/SharedObjectTest.java
@@ -24,6 +24,10 @@
             new SharedObject.Codec<>(bytes -> new String(bytes, UTF_8), text -> text.getBytes(UTF_8));
     private static final long STEP_MILLIS = 10_000;
 
+    /** A text only grows, so that a longer one is later. */
+    private static final SharedObject.Reconciler<String> LONGER_IN_ERAS = (stored, known, era) ->
+            era != StoreEra.UNKNOWN && known != null && known.length() > stored.length() ? known : stored;
+
     /** Returns a mutation that appends a letter if the state does not contain it yet. */
     private static SharedObject.Mutation<String> append(String letter) {
         return state -> Either.right(state.contains(letter) ? state : state + letter);
@@ -35,17 +39,21 @@
         private final Deque<Runnable> replies = new ArrayDeque<>();
         private boolean loseReply;
         private boolean rejectWrites;
+        private final StoreEra storeEra = new StoreEra();
         private long nowMillis;
 
         private final SharedObject<String> object = new SharedObject<>(
                 "key",
                 TEXT,
+                LONGER_IN_ERAS,
                 new SharedObject.Ports(
                         new QueueingStore(),
+                        storeEra,
                         new CallBudget(1_000, 1_000),
                         new CallBudget(1_000, 1_000),
                         RandomSource.XO_SHI_RO_256_PP.create(1),
-                        0));
+                        0,
+                        () -> 500));
 
         /** Queues each reply until the test sends it. */
         private final class QueueingStore implements PlatformStore {
@@ -222,4 +230,62 @@
             assertFalse(ticket.cancel());
         }
     }
+
+    /** Tests objects in a store that comes back from an older copy. */
+    public static class Eras {
+        private static Harness withLostChange() {
+            Harness test = new Harness();
+            test.storeEra.onAnswer(1);
+            test.object.submit(append("a"), result -> {});
+            test.step();
+            test.step();
+            InMemoryObjectStore.Copy copy = test.objects.copy();
+            test.object.submit(append("b"), result -> {});
+            test.step();
+            assertEquals(test.stored(), "ab");
+            test.objects.restore(copy);
+            return test;
+        }
+
+        @Test
+        public void restoreWhatTheStoreHasLostWithTheNextWrite() {
+            Harness test = withLostChange();
+            test.storeEra.onAnswer(2);
+            test.object.submit(append("c"), result -> {});
+            test.step();
+            test.step();
+            assertEquals(test.stored(), "abc");
+        }
+
+        /** A write succeeded on the ground of a version that the store had given out again for another state. */
+        @Test
+        public void sendNoWriteOnAVersionOfAnEarlierEra() {
+            Harness test = withLostChange();
+            long lostVersion = test.object.version();
+            test.objects.put("key", test.objects.get("key").version(), "ax".getBytes(UTF_8));
+            assertEquals(test.objects.get("key").version(), lostVersion, "the version is given out again");
+            test.storeEra.onAnswer(2);
+            test.object.submit(append("c"), result -> {});
+            test.step();
+            assertEquals(test.stored(), "ax", "the object is read first");
+            test.step();
+            assertEquals(test.stored(), "axc");
+        }
+
+        @Test
+        public void doNotTakeAWriteForCommittedThatWasAnsweredInALaterEra() {
+            Harness test = withLostChange();
+            List<String> results = new ArrayList<>();
+            test.object.submit(append("c"), result -> results.add(result.get()));
+            test.nowMillis += STEP_MILLIS;
+            test.object.tick(test.nowMillis);
+            test.storeEra.onAnswer(2);
+            test.replies.remove().run();
+            assertEquals(results, List.of(), "the write is lost, or has replaced another state");
+            test.step();
+            test.step();
+            assertEquals(test.stored(), "abc");
+            assertEquals(results, List.of("abc"));
+        }
+    }
 }
