Skip an object that cannot be read by itself, in lists and watches of the store and in the list of VMs

Cause: a list or watch answer was parsed as one tree, and the parser's limits on nesting and numbers fail the whole text. The product's own interface read the list of VMs so too; a port out of range there ended each tick with an exception.

Change: JsonSlice divides a text into fields and elements without parsing; each object's name and content are parsed apart. Names that no header can carry and addresses that are no IP:PORT are skipped; names are encoded in queries; an entry without a name does not restart a list.

Ruled out: callers' bodies, engines' events and peers' messages, which are parsed one by one.

--- a/src/main/java/org/radishspan/http/Json.java
+++ b/src/main/java/org/radishspan/http/Json.java
@@ -50,6 +50,16 @@
         }
     }
 
+    /** Parses a part of a text; returns empty if it is not exactly one JSON value. */
+    static Optional<JsonNode> parse(byte[] bytes, int start, int length) {
+        try {
+            JsonNode node = MAPPER.readTree(bytes, start, length);
+            return node.isMissingNode() ? Optional.empty() : Optional.of(node);
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
     /** Returns the JSON text of a node with line breaks and indentation. */
     public static String pretty(JsonNode node) {
         return node.toPrettyString();
--- a/src/main/java/org/radishspan/membership/LiveList.java
+++ b/src/main/java/org/radishspan/membership/LiveList.java
@@ -1,15 +1,17 @@
 package org.radishspan.membership;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
 import org.radishspan.http.Json;
+import org.radishspan.http.JsonSlice;
 import org.radishspan.routing.TargetTable.ListedVm;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
@@ -19,17 +21,45 @@
     /** The key of the list in the platform's object API. */
     public static final String KEY = "platform/vms";
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int MAX_PORT = 65_535;
+    private static final JsonSlice EMPTY_LIST = JsonSlice.of("[]".getBytes(UTF_8));
+
     private LiveList() {}
 
-    /** Parses the list; empty if the bytes are not a JSON object. */
+    /**
+     * Parses the list; empty if the bytes are not a JSON object with a list of VMs. A VM whose entry cannot be read, has no
+     * name or host, or has a port out of range is skipped and logged; the others hold.
+     */
     public static Optional<List<ListedVm>> parse(byte[] bytes) {
-        return Json.parseObject(bytes).map(root -> {
-            List<ListedVm> vms = new ArrayList<>();
-            for (JsonNode vm : root.path("vms")) {
-                vms.add(read(vm));
-            }
-            return vms;
-        });
+        return JsonSlice.of(bytes)
+                .fields()
+                .flatMap(root -> root.getOrDefault("vms", EMPTY_LIST).elements())
+                .map(elements -> elements.stream().flatMap(LiveList::read).toList());
+    }
+
+    private static Stream<ListedVm> read(JsonSlice element) {
+        JsonNode vm = element.parseObject();
+        int port = vm.path("port").asInt();
+        boolean usable = vm.path("name").isTextual()
+                && vm.path("host").isTextual()
+                && !vm.path("host").asText().isEmpty()
+                && port >= 0
+                && port <= MAX_PORT;
+        if (!usable) {
+            LOGGER.atWarning().log("skipped an entry of the list of VMs that cannot be read: %s", name(element));
+            return Stream.empty();
+        }
+        return Stream.of(read(vm));
+    }
+
+    /** Returns the name in an entry even if another field of it cannot be read. */
+    private static String name(JsonSlice element) {
+        return element.fields()
+                .map(fields -> fields.getOrDefault("name", JsonSlice.EMPTY))
+                .flatMap(JsonSlice::parse)
+                .map(JsonNode::asText)
+                .orElse("");
     }
 
     private static ListedVm read(JsonNode vm) {
--- a/src/main/java/org/radishspan/platform/JsonFields.java
+++ b/src/main/java/org/radishspan/platform/JsonFields.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.util.NetUtil;
 import org.radishspan.deployment.Address;
 
 /**
@@ -185,7 +186,7 @@
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port > 0 && port <= MAX_PORT) {
+            if (NetUtil.isValidIpV4Address(text.substring(0, Math.max(0, colon))) && port > 0 && port <= MAX_PORT) {
                 return new Address(text.substring(0, colon), port);
             }
         } catch (NumberFormatException e) {
--- a/src/main/java/org/radishspan/platform/ObjectApi.java
+++ b/src/main/java/org/radishspan/platform/ObjectApi.java
@@ -1,6 +1,6 @@
 package org.radishspan.platform;
 
-import java.util.ArrayList;
+import java.net.URLEncoder;
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +17,7 @@
 import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.http.Json;
+import org.radishspan.http.JsonSlice;
 import org.radishspan.http.WholeAnswer;
 import org.radishspan.store.ObjectKinds;
 import org.radishspan.store.StoreEra;
@@ -40,6 +41,9 @@
     /** A watch without a response this long after its waiting time has failed. */
     private static final long WATCH_SLACK_MILLIS = 600;
 
+    private static final int MAX_NAME_LENGTH = 1_024;
+    private static final char DELETE = 0x7f;
+
     private static final String ERA_HEADER = "Store-Era";
 
     /** Every number of so many digits fits into 64 bits. */
@@ -132,7 +136,7 @@
     @Override
     public void list(String kind, String afterName, Consumer<Either<Failure, Page>> reply) {
         // Despite its name, this parameter takes the name of the last object of the previous page, not a revision.
-        String query = afterName.isEmpty() ? "" : "?after_rev=" + afterName;
+        String query = afterName.isEmpty() ? "" : "?after_rev=" + URLEncoder.encode(afterName, UTF_8);
         call(
                 "GET",
                 PATH + kind + query,
@@ -142,21 +146,43 @@
     }
 
     private static Either<Failure, Page> page(WholeAnswer response) {
-        return successBody(response).map(body -> {
-            List<Entry> entries = new ArrayList<>();
-            body.path("entries").forEach(object -> entries.add(entry(object)));
-            return new Page(
-                    entries,
-                    !body.path("has_more").asBoolean(),
-                    body.path("current_rev").asLong());
+        return successFields(response).flatMap(body -> {
+            Optional<List<JsonSlice>> objects = slice(body, "entries").elements();
+            return objects.isEmpty()
+                    ? Either.left(unavailable("the list has no readable entries"))
+                    : Either.right(new Page(
+                            objects.get().stream().map(ObjectApi::entry).toList(),
+                            !flag(body, "has_more"),
+                            revision(body)));
         });
     }
 
-    private static Entry entry(JsonNode object) {
-        JsonNode content = object.path("spec");
-        return new Entry(
-                object.path("metadata").path("name").asText(),
-                content.isObject() ? content : MissingNode.getInstance());
+    /**
+     * Returns an object. Its name and its content are read separately, so that content that cannot be read still has a name
+     * under which it is skipped. An object whose name cannot be sent in a header is skipped too.
+     */
+    private static Entry entry(JsonSlice object) {
+        Map<String, JsonSlice> fields = object.fields().orElse(Map.of());
+        String name = slice(fields, "metadata").parseObject().path("name").asText();
+        return new Entry(name, isUsableName(name) ? slice(fields, "spec").parseObject() : MissingNode.getInstance());
+    }
+
+    private static boolean isUsableName(String name) {
+        return !name.isEmpty()
+                && name.length() <= MAX_NAME_LENGTH
+                && name.chars().allMatch(c -> c > ' ' && c < DELETE);
+    }
+
+    private static JsonSlice slice(Map<String, JsonSlice> fields, String name) {
+        return fields.getOrDefault(name, JsonSlice.EMPTY);
+    }
+
+    private static boolean flag(Map<String, JsonSlice> fields, String name) {
+        return slice(fields, name).parse().map(JsonNode::asBoolean).orElse(false);
+    }
+
+    private static long revision(Map<String, JsonSlice> fields) {
+        return slice(fields, "current_rev").parse().map(JsonNode::asLong).orElse(0L);
     }
 
     @Override
@@ -175,16 +201,20 @@
                     ErrorKind.CONFLICT,
                     "the requested revisions are no longer in the history of the platform's store"));
         }
-        return successBody(response).map(body -> {
-            List<Change> changes = new ArrayList<>();
-            for (JsonNode event : body.path("events")) {
-                changes.add(new Change(
-                        entry(event.path("object")), event.path("deleted").asBoolean()));
-            }
-            return new Changes(changes, body.path("current_rev").asLong());
+        return successFields(response).flatMap(body -> {
+            Optional<List<JsonSlice>> events = slice(body, "events").elements();
+            return events.isEmpty()
+                    ? Either.left(unavailable("the answer to a watch has no readable events"))
+                    : Either.right(new Changes(
+                            events.get().stream().map(ObjectApi::change).toList(), revision(body)));
         });
     }
 
+    private static Change change(JsonSlice event) {
+        Map<String, JsonSlice> fields = event.fields().orElse(Map.of());
+        return new Change(entry(slice(fields, "object")), flag(fields, "deleted"));
+    }
+
     @Override
     public void write(String kind, String name, JsonNode content, Consumer<Either<Failure, Long>> reply) {
         byte[] body =
@@ -245,13 +275,25 @@
         return readable ? Long.parseLong(value) : StoreEra.UNKNOWN;
     }
 
+    private static Either<Failure, WholeAnswer> success(WholeAnswer response) {
+        return response.status() < FIRST_SUCCESS || response.status() >= FIRST_REDIRECT
+                ? Either.left(unavailable("status " + response.status()))
+                : Either.right(response);
+    }
+
     private static Either<Failure, ObjectNode> successBody(WholeAnswer response) {
-        if (response.status() < FIRST_SUCCESS || response.status() >= FIRST_REDIRECT) {
-            return Either.left(unavailable("status " + response.status()));
-        }
-        Optional<ObjectNode> object = Json.parseObject(response.body());
-        return object.isPresent()
-                ? Either.right(object.get())
+        return success(response).flatMap(answer -> toEither(Json.parseObject(answer.body())));
+    }
+
+    /** Returns the fields of a body with many objects, each of which is parsed by itself. */
+    private static Either<Failure, Map<String, JsonSlice>> successFields(WholeAnswer response) {
+        return success(response)
+                .flatMap(answer -> toEither(JsonSlice.of(answer.body()).fields()));
+    }
+
+    private static <T> Either<Failure, T> toEither(Optional<T> body) {
+        return body.isPresent()
+                ? Either.right(body.get())
                 : Either.left(unavailable("the response is not one JSON object"));
     }
 }
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -340,7 +340,8 @@
         ObjectKinds.Page page = reply.get();
         for (ObjectKinds.Entry entry : page.entries()) {
             decode(entry).ifPresent(decoded -> pendingEntries.put(entry.name(), decoded));
-            afterName = entry.name();
+            // An entry without a readable name must not restart the list.
+            afterName = entry.name().isEmpty() ? afterName : entry.name();
         }
         if (!page.complete() && !page.entries().isEmpty()) {
             return;
