Believe a refusal only if it belongs to the request

Cause: DispatchSystem read x-not-run before it compared the request id, and believed a response without an id on any connection.

Ruled out on the users' platform, whose responses are matched by id: HttpClientTest.anEarlierRefusalThatIsWrittenOnceMoreReachesNobody was green before.

Change: a response that names another request is skipped, so that the right one is delivered; a refusal without an id counts on a new connection only.

--- a/src/main/java/org/radishspan/request/DispatchSystem.java
+++ b/src/main/java/org/radishspan/request/DispatchSystem.java
@@ -26,6 +26,8 @@
     /** Response header with which a target reports that it did not execute any part of the request. */
     static final String NOT_RUN_HEADER = "x-not-run";
 
+    private static final String REQUEST_ID_HEADER = "x-request-id";
+
     private static final int MAX_ATTEMPTS = 3;
     private static final int MAX_RESUMES = 3;
     private static final long RETRY_AFTER_MILLIS = 1_000;
@@ -131,11 +133,12 @@
         }
         Map<String, String> headers = new HashMap<>();
         headers.put("content-type", "application/json");
-        headers.put("x-request-id", request.requestId);
+        headers.put(REQUEST_ID_HEADER, request.requestId);
         headers.put("x-priority", request.spec.urgent() ? "urgent" : "batch");
         if (request.spec.idempotencyKey() != null) {
             headers.put("idempotency-key", request.spec.idempotencyKey());
         }
+        AttemptListener listener = new AttemptListener(request, target, request.attempts, request.resumes);
         request.call = ports.transport()
                 .send(
                         new HttpTransport.Request(
@@ -143,10 +146,11 @@
                                 target.port(),
                                 method,
                                 path,
-                                headers,
+                                List.copyOf(headers.entrySet()),
                                 body,
-                                limits.progressTimeoutMillis()),
-                        new AttemptListener(request, target, request.attempts, request.resumes));
+                                limits.progressTimeoutMillis(),
+                                listener::matches),
+                        listener);
     }
 
     /** Cancels the attempt in progress at the target; does nothing if there is none. */
@@ -252,6 +256,7 @@
         private final int resume;
         private boolean refused;
         private boolean requestIdMismatch;
+        private boolean connectionReused;
 
         AttemptListener(Request request, Target target, int attempt, int resume) {
             this.request = request;
@@ -260,6 +265,26 @@
             this.resume = resume;
         }
 
+        /**
+         * Returns whether a response may belong to this request. A response to an earlier request on the connection is
+         * skipped.
+         */
+        private boolean matches(HttpTransport.Headers headers, boolean reusedConnection) {
+            connectionReused = reusedConnection;
+            String responseId = headers.get(REQUEST_ID_HEADER);
+            return responseId == null || responseId.equals(request.requestId);
+        }
+
+        /**
+         * Returns whether a response states that the target did not run this request. On a connection that has carried other
+         * requests, a refusal without a request id may be a repetition of an earlier one.
+         */
+        private boolean isRefusal(HttpTransport.Headers headers) {
+            String responseId = headers.get(REQUEST_ID_HEADER);
+            boolean belongsHere = responseId == null ? !connectionReused : responseId.equals(request.requestId);
+            return belongsHere && "true".equals(headers.get(NOT_RUN_HEADER));
+        }
+
         /** Returns whether the attempt is no longer the current one, and if so counts a dropped frame. */
         private boolean dropIfStale() {
             boolean current = request.phase == Request.Phase.RUNNING
@@ -278,9 +303,9 @@
             if (dropIfStale() || response == null) {
                 return;
             }
-            String responseId = headers.get("x-request-id");
+            String responseId = headers.get(REQUEST_ID_HEADER);
             requestIdMismatch = responseId != null && !responseId.equals(request.requestId);
-            refused = "true".equals(headers.get(NOT_RUN_HEADER));
+            refused = isRefusal(headers);
             String contentType = headers.get("content-type");
             boolean usable = response.onHead(status, contentType == null ? "" : contentType);
             if (requestIdMismatch || refused || !usable) {
--- a/src/main/java/org/radishspan/virtual/VirtualTargets.java
+++ b/src/main/java/org/radishspan/virtual/VirtualTargets.java
@@ -36,6 +36,7 @@
     private final UniformRandomProvider random;
     private final long tokenMillis;
     private double strayFrameFraction;
+    private boolean repeatedRefusals;
     private int crashCount;
     private final Map<String, Integer> runsByKey = new HashMap<>();
     private final Map<String, Integer> runsByRequest = new HashMap<>();
@@ -85,6 +86,11 @@
         strayFrameFraction = fraction;
     }
 
+    /** Sets whether services write the refusal of an earlier request once more before they answer a request. */
+    public void setRepeatedRefusals(boolean repeated) {
+        repeatedRefusals = repeated;
+    }
+
     /** Crashes a target: its open connections fail, and new ones are refused until {@link #start} is called for it. */
     public void crash(int port) {
         downPorts.add(port);
@@ -190,6 +196,13 @@
             }
             runsByKey.merge(request.header("idempotency-key").orElse(""), 1, Integer::sum);
             runsByRequest.merge(requestId(), 1, Integer::sum);
+            if (repeatedRefusals) {
+                deliver(() -> listener.onHead(503, name -> switch (name) {
+                    case "x-request-id" -> "an-earlier-request";
+                    case "x-not-run" -> "true";
+                    default -> null;
+                }));
+            }
             time.schedule(tokenMillis, () -> respond("{\"done\":\"" + requestId() + "\"}"));
         }
 
--- a/src/test/java/org/radishspan/http/HttpClientTest.java
+++ b/src/test/java/org/radishspan/http/HttpClientTest.java
@@ -237,6 +237,24 @@
         }
     }
 
+    /** Callers were told that requests which had run were not, because a target wrote an earlier refusal once more. */
+    @Test
+    public void anEarlierRefusalThatIsWrittenOnceMoreReachesNobody() throws Exception {
+        String refusal =
+                "HTTP/1.1 503 Service Unavailable\r\nX-Id: before\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+        String refusalWithoutId = refusal.replace("X-Id: before\r\n", "");
+        for (String late : List.of(refusal, refusalWithoutId)) {
+            try (RawServer server = new RawServer(i -> i == 1 ? late + OK : OK)) {
+                HttpClient client = new HttpClient(group);
+                assertEquals(call(client, server), "200 ok");
+                assertEquals(call(client, server), "200 ok", "the refusal arrived first on the reused connection");
+                assertEquals(server.connections.get(), 1);
+                assertEquals(call(client, server), "200 ok");
+                assertEquals(server.connections.get(), 2, "that connection is not reused");
+            }
+        }
+    }
+
     /** A request that is moved to another target while its connection is being established must not reach both targets. */
     @Test
     public void aCallCancelledWhileItsConnectionIsMadeSendsNothing() throws Exception {
--- a/src/test/java/org/radishspan/virtual/RegressionTest.java
+++ b/src/test/java/org/radishspan/virtual/RegressionTest.java
@@ -2,6 +2,7 @@
 
 import org.radishspan.budget.SharePolicy;
 import org.radishspan.config.Configuration;
+import org.radishspan.error.Failure;
 import org.radishspan.proto.LoadReport;
 import org.radishspan.proto.PeerMessage;
 import org.radishspan.proto.PresetState;
@@ -89,4 +90,19 @@
         fleet.run(2_000);
         assertTrue(again.answered(), "a new share is granted after the earlier one was retired");
     }
+
+    /**
+     * A service wrote the refusal of an earlier request once more on a kept connection. The router took it for the refusal of
+     * the request that was running, and sent that to a second service.
+     */
+    @Test
+    public void aRepeatedRefusalOfAnEarlierRequestIsNoReasonToSendARequestAgain() {
+        VirtualFleet fleet = fleet(100_000);
+        fleet.targets().setRepeatedRefusals(true);
+        TestCaller caller = TestCaller.serviceCall(fleet.node(0), "workspace.key", "k");
+        fleet.run(10_000);
+        assertTrue(caller.ended);
+        assertEquals(fleet.targets().runsByKey().getOrDefault("k", 0), 1);
+        assertFalse(caller.failure != null && caller.failure.ran() == Failure.Ran.NO, "the request has run");
+    }
 }
