Show that a broken stream takes nothing of the errors of the next targets

Green on the code before; no change was needed. On the own interface a response other than 200 ends the attempt unread.

--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -292,6 +292,41 @@
             assertTrue(caller.headers.toString().contains("first"), "the headers of the first target are kept");
         }
 
+        @DataProvider
+        public Object[][] answersWithoutFurtherEvents() {
+            String error = "the engine's error";
+            return new Object[][] {
+                {500, "text/plain", error},
+                {500, STREAM, "id: 4\ndata: " + error + "\n\n"},
+                {404, "application/json", error},
+                {200, "application/json", error},
+                {200, STREAM, ""},
+                {200, STREAM, error},
+            };
+        }
+
+        /** Callers found the error's text in their stream, or the stream ended as if it were complete. */
+        @Test(dataProvider = "answersWithoutFurtherEvents")
+        public void thatTheNextTargetsDoNotContinueContainNothingOfTheirAnswers(
+                int status, String contentType, String body) {
+            RelayHarness harness = new RelayHarness(3);
+            RelayHarness.Caller caller = harness.call("stream");
+            harness.lastSent().head(200, "Content-Type", STREAM, "X-Server-Stamp", "first");
+            harness.lastSent().events(1, 3);
+            harness.lastSent().loseConnection();
+            int sends = 0;
+            while (!caller.aborted && sends < 5) {
+                sends++;
+                harness.lastSent().head(status, "Content-Type", contentType, "X-Server-Stamp", "next");
+                harness.lastSent().bytes(body);
+                harness.lastSent().end();
+            }
+            assertTrue(caller.aborted, "the stream must not look complete");
+            assertFalse(caller.ended);
+            assertEquals(caller.body.toString(), RelayHarness.events(1, 3));
+            assertTrue(caller.headers.toString().contains("first"));
+        }
+
         @Test
         public void dropEventsThatTheCallerHasAlreadyReceived() {
             RelayHarness harness = new RelayHarness(3);
