Put back entries of routers, reports of crashes and leaving targets after a restore of the store

What callers would see: a router that registered within the lost seconds is never listed again, so that limits are divided among too few; targets that left or drain get new requests, as the copy lists them as ready.

Change: a list that lacks a router's own entry or report of crashes makes it write them again, and an entry that comes back while it drains is removed again. For 4 s after a restore, entries of the copy that contradict what was known of the same incarnation are held back (target_held): within that time live targets write theirs again and the entries of others expire.

--- a/src/main/java/org/radishspan/deployment/TargetDirectory.java
+++ b/src/main/java/org/radishspan/deployment/TargetDirectory.java
@@ -16,8 +16,20 @@
  *
  * <p>Entries also lapse while the store is unavailable, and targets write them again soon after it has recovered. A target
  * whose entry is missing shortly after an outage therefore stays in the table until the entry has had time to reappear.
+ *
+ * <p>A store that comes back from an older copy may list targets that left, or that drain, as ready. For a while such entries are
+ * held back.
  */
 public final class TargetDirectory implements KindWatch.Listener<TargetEntry> {
+    /**
+     * Time after a restore of the store in which targets that left or drain are not used although an older copy lists them as
+     * ready. By then live targets have written their entries again, and the entries of others have expired.
+     */
+    private static final long HOLD_MILLIS = 4_000;
+
+    /** Removed targets are remembered up to this number; their names are not used again. */
+    private static final int MAX_REMOVED = 10_000;
+
     /** Time after an outage in which missing entries are tolerated. Lapsed entries are written again within two seconds. */
     private static final long ENTRIES_RESTORED_MILLIS = 2_200;
 
@@ -27,6 +39,14 @@
     private final LongSupplier clockMillis;
     private final Consumer<Target> onEnded;
     private final Map<String, Boolean> lapsed = new HashMap<>();
+
+    /** The incarnations that were removed from the table, by the names of their targets. */
+    private final Map<String, Long> removedIncarnations = new HashMap<>();
+
+    /** Entries that contradict what was known before the store came back from an older copy. */
+    private final Map<String, TargetEntry> heldEntries = new HashMap<>();
+
+    private long holdUntilMillis = Long.MIN_VALUE;
     private boolean initialListRead;
 
     /**
@@ -49,9 +69,36 @@
         this.onEnded = onEnded;
     }
 
+    @Override
+    public void onStoreRestored() {
+        holdUntilMillis = clockMillis.getAsLong() + HOLD_MILLIS;
+    }
+
     @Override
     public void onPresent(String name, TargetEntry entry) {
+        heldEntries.remove(name);
+        if (clockMillis.getAsLong() < holdUntilMillis && contradictsEarlierEntry(name, entry)) {
+            heldEntries.put(name, entry);
+            log.belief("target_held")
+                    .with("target", name)
+                    .with("reason", "it was leaving before the store came back from an older copy")
+                    .write();
+            return;
+        }
+        register(name, entry);
+    }
+
+    private boolean contradictsEarlierEntry(String name, TargetEntry entry) {
+        Target known = targets.get(name);
+        if (known != null) {
+            return known.leaving() && !entry.draining() && known.startedAtUnixMillis() == entry.startedAtUnixMillis();
+        }
+        return Long.valueOf(entry.startedAtUnixMillis()).equals(removedIncarnations.get(name));
+    }
+
+    private void register(String name, TargetEntry entry) {
         lapsed.remove(name);
+        removedIncarnations.remove(name);
         Target known = targets.get(name);
         boolean drainingBefore = known != null && known.leaving();
         Target registered = targets.register(
@@ -87,6 +134,7 @@
 
     @Override
     public void onAbsent(String name) {
+        heldEntries.remove(name);
         if (storeFailedWithin.test(ENTRIES_RESTORED_MILLIS)) {
             lapsed.put(name, true);
             log.belief("target_lapsed")
@@ -99,12 +147,26 @@
     }
 
     private void remove(String name, String reason) {
+        Target removed = targets.get(name);
+        if (removed != null && removedIncarnations.size() < MAX_REMOVED) {
+            removedIncarnations.put(name, removed.startedAtUnixMillis());
+        }
         targets.deregister(name);
         log.belief("target_gone").with("target", name).with("reason", reason).write();
     }
 
+    /** Registers the held entries that are still present when live targets have written theirs again. */
+    private void releaseHeldEntries() {
+        if (heldEntries.isEmpty() || clockMillis.getAsLong() < holdUntilMillis) {
+            return;
+        }
+        Map.copyOf(heldEntries).forEach(this::register);
+        heldEntries.clear();
+    }
+
     /** Removes the targets whose entries have not reappeared in time after an outage of the store. */
     public void tick() {
+        releaseHeldEntries();
         if (lapsed.isEmpty() || storeFailedWithin.test(ENTRIES_RESTORED_MILLIS)) {
             return;
         }
--- a/src/main/java/org/radishspan/front/CrashReports.java
+++ b/src/main/java/org/radishspan/front/CrashReports.java
@@ -204,5 +204,9 @@
     @Override
     public void onListed() {
         listed = true;
+        if (!known.containsKey(vm) && !written.isEmpty()) {
+            // The store lost the report before this router had read it.
+            onOwnReport(new CrashReport(Map.of()));
+        }
     }
 }
--- a/src/main/java/org/radishspan/front/RouterDirectory.java
+++ b/src/main/java/org/radishspan/front/RouterDirectory.java
@@ -90,6 +90,19 @@
         changed = true;
     }
 
+    /**
+     * Registers this router again if the store lost its entry, and removes the entry again if the store brought it back. The
+     * entry may have been written after the last list, so that its absence is not reported.
+     */
+    @Override
+    public void onListed() {
+        boolean listed = routers.containsKey(self.vm());
+        registered &= listed || registering;
+        if (withdrawn && listed) {
+            withdraw();
+        }
+    }
+
     @Override
     public void onAbsent(String name) {
         routers.remove(name);
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -38,6 +38,12 @@
         /** Called when an object was deleted or can no longer be decoded. */
         void onAbsent(String name);
 
+        /**
+         * Called when the store has come back from an older copy, before the next list is read. The list may lack recent
+         * changes until their writers have made them again.
+         */
+        default void onStoreRestored() {}
+
         /** Called after a whole list has been read and all its changes have been reported. */
         default void onListed() {}
     }
@@ -278,6 +284,7 @@
         notBeforeMillis = nowMillis;
         // Entries of the copy may be missing until their writers have written them again.
         failedAtMillis = nowMillis;
+        listener.onStoreRestored();
         restartList();
     }
 
