Use one copy of what the restoration of ledgers had twice

- RestorationSystem compared an incarnation with its own before it asked for a report; PeerSystem.notifyHolder does that already.
- LedgerGateway ordered marks by era and generation in its own words; LedgerBook.Version orders them, and names no Comparable that nobody uses.
- BillSettler kept two values that follow from the tuning it keeps.
- GrantRequester had the same guard around two results; ifLastRequest serves both.

Checks: mvn verify, 925 tests, 0 failures, no test changed.

--- a/src/main/java/org/radishspan/budget/BillSettler.java
+++ b/src/main/java/org/radishspan/budget/BillSettler.java
@@ -27,9 +27,7 @@
     private final Consumer<Share> onLost;
     private final BoundSupplier boundSupplier;
     private long handoverAfterMillis;
-    private long settleIntervalMillis;
     private SharePolicy.Tuning tuning = SharePolicy.Tuning.DEFAULT;
-    private long boundMillis;
     private long nowMillis;
 
     BillSettler(
@@ -49,8 +47,6 @@
         nowMillis = tickMillis;
         tuning = currentTuning;
         handoverAfterMillis = policy.handoverAfterMillis();
-        settleIntervalMillis = tuning.settleIntervalMillis();
-        boundMillis = tuning.boundMillis();
     }
 
     void settle(Share share) {
@@ -65,7 +61,7 @@
         if (!hasNewBills) {
             share.settleSeq++;
         }
-        share.nextSettleAtMillis = nowMillis + settleIntervalMillis;
+        share.nextSettleAtMillis = nowMillis + tuning.settleIntervalMillis();
         share.settleInFlight = true;
         share.settleSubmittedAtMillis = nowMillis;
         Ledger.Settlement settlement = share.settlement(boundSupplier.newBound(share, share.grantedTokens));
@@ -80,14 +76,14 @@
      * renewed.
      */
     private boolean boundDue(Share share) {
-        if (boundMillis == 0 || share.grantedTokens == 0 || share.retiring) {
+        if (tuning.boundMillis() == 0 || share.grantedTokens == 0 || share.retiring) {
             return false;
         }
         long neededTokens = share.usedTokens() + share.waitingCalls.firstTokens();
         boolean callWaitsForBound = !share.waitingCalls.isEmpty()
                 && share.spendingLimitTokens < neededTokens
                 && neededTokens <= share.grantedTokens;
-        boolean renewalDue = nowMillis - share.bounds.statedAtMillis() >= settleIntervalMillis;
+        boolean renewalDue = nowMillis - share.bounds.statedAtMillis() >= tuning.settleIntervalMillis();
         return callWaitsForBound || renewalDue && !share.urgentSettle;
     }
 
--- a/src/main/java/org/radishspan/budget/GrantRequester.java
+++ b/src/main/java/org/radishspan/budget/GrantRequester.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
@@ -119,7 +120,6 @@
         share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
         share.nextUrgentRequestAtMillis = share.nextRequestAtMillis;
         String requestedShareId = share.shareId;
-        long requestSeq = share.requestSeq;
         long sentAtMillis = nowMillis;
         List<String> holders = holdersToRecord(share);
         Ledger.GrantRequest request = new Ledger.GrantRequest(
@@ -138,12 +138,10 @@
         gateway.submit(
                 share.partition,
                 LedgerOps.grant(share.budget, request, sizing.policy().freeFraction(), sizing.tuning()),
-                result -> {
-                    if (isExpected(share, requestedShareId, requestSeq)) {
-                        share.onBoundCommitted(requestedShareId, request.bound(), result);
-                        onRequestDone(share, sentAtMillis, minimumTokens, holders, result);
-                    }
-                });
+                ifLastRequest(share, result -> {
+                    share.onBoundCommitted(requestedShareId, request.bound(), result);
+                    onRequestDone(share, sentAtMillis, minimumTokens, holders, result);
+                }));
     }
 
     private void recordRequestSent() {
@@ -168,9 +166,15 @@
         return selected;
     }
 
-    /** Returns whether a result belongs to the last request of a share. */
-    private static boolean isExpected(Share share, String requestedShareId, long requestSeq) {
-        return share.shareId.equals(requestedShareId) && share.requestSeq == requestSeq;
+    /** Returns a consumer that ignores the result if another request or a report of the share has been sent since. */
+    private static Consumer<LedgerResult> ifLastRequest(Share share, Consumer<LedgerResult> done) {
+        String requestedShareId = share.shareId;
+        long requestSeq = share.requestSeq;
+        return result -> {
+            if (share.shareId.equals(requestedShareId) && share.requestSeq == requestSeq) {
+                done.accept(result);
+            }
+        };
     }
 
     private void onRequestDone(
@@ -232,18 +236,14 @@
         share.grantedTokens -= tokens;
         share.refreshLimit(nowMillis);
         share.nextRequestAtMillis = nowMillis + sizing.policy().retryMillis();
-        String requestedShareId = share.shareId;
-        long requestSeq = share.requestSeq;
         long sentAtMillis = nowMillis;
         counters.giveBacks++;
         recordRequestSent();
         gateway.submit(
                 share.partition,
-                LedgerOps.giveBack(share.budget, requestedShareId, requestSeq, tokens, reportDemand(share)),
-                result -> {
-                    if (isExpected(share, requestedShareId, requestSeq)) {
-                        onRequestDone(share, sentAtMillis, 0, new ArrayList<>(share.holders), result);
-                    }
-                });
+                LedgerOps.giveBack(share.budget, share.shareId, share.requestSeq, tokens, reportDemand(share)),
+                ifLastRequest(
+                        share,
+                        result -> onRequestDone(share, sentAtMillis, 0, new ArrayList<>(share.holders), result)));
     }
 }
--- a/src/main/java/org/radishspan/budget/LedgerBook.java
+++ b/src/main/java/org/radishspan/budget/LedgerBook.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.radishspan.proto.AccountState;
 import org.radishspan.proto.AuditState;
+import org.radishspan.proto.CommittedMark;
 import org.radishspan.proto.LedgerState;
 import org.radishspan.proto.RestorationState;
 import org.radishspan.store.StoreEra;
@@ -33,17 +34,17 @@
      * @param era the era of the store in which the content was written
      * @param generation a number that rises with each change
      */
-    public record Version(long era, long generation) implements Comparable<Version> {
+    public record Version(long era, long generation) {
         private static final Comparator<Version> ORDER =
                 Comparator.comparingLong(Version::era).thenComparingLong(Version::generation);
 
-        @Override
-        public int compareTo(Version other) {
-            return ORDER.compare(this, other);
+        /** Returns the version of the ledger in which a router learned the tokens that a budget had committed. */
+        static Version of(CommittedMark mark) {
+            return new Version(mark.getEra(), mark.getGeneration());
         }
 
         boolean isLaterThan(Version other) {
-            return compareTo(other) > 0;
+            return ORDER.compare(this, other) > 0;
         }
 
         private Version next() {
--- a/src/main/java/org/radishspan/budget/LedgerGateway.java
+++ b/src/main/java/org/radishspan/budget/LedgerGateway.java
@@ -243,10 +243,7 @@
                 .setCommittedTokens(result.getCommittedTokens())
                 .build();
         CommittedMark last = marks.get(budget);
-        boolean later = last == null
-                || mark.getEra() > last.getEra()
-                || (mark.getEra() == last.getEra() && mark.getGeneration() > last.getGeneration());
-        if (later) {
+        if (last == null || LedgerBook.Version.of(mark).isLaterThan(LedgerBook.Version.of(last))) {
             marks.put(budget, mark);
         }
     }
--- a/src/main/java/org/radishspan/budget/LedgerRestoration.java
+++ b/src/main/java/org/radishspan/budget/LedgerRestoration.java
@@ -260,8 +260,8 @@
         for (RouterReport report : restoration.getReportsList()) {
             for (CommittedMark mark : report.getMarksList()) {
                 CommittedMark best = latest.get(mark.getBudget());
-                Version bestVersion = best == null ? base : version(best);
-                if (version(mark).isLaterThan(bestVersion)) {
+                Version bestVersion = best == null ? base : Version.of(best);
+                if (Version.of(mark).isLaterThan(bestVersion)) {
                     latest.put(mark.getBudget(), mark);
                 }
             }
@@ -269,10 +269,6 @@
         return latest;
     }
 
-    private static Version version(CommittedMark mark) {
-        return new Version(mark.getEra(), mark.getGeneration());
-    }
-
     private static AccountState withUnreportedTokens(AccountState account, CommittedMark mark) {
         return withLostTokens(account, Math.max(0, mark.getCommittedTokens() - Accounts.committedTokens(account)));
     }
--- a/src/main/java/org/radishspan/budget/RestorationSystem.java
+++ b/src/main/java/org/radishspan/budget/RestorationSystem.java
@@ -30,7 +30,7 @@
         /** Returns whether a process may be running, although it may have been silent for less than the given time. */
         boolean mayBeRunning(String vm, String incarnation, long silentMillis);
 
-        /** Asks a process to report what it knows of a ledger; the message may be lost. */
+        /** Asks a process, possibly this one, to report what it knows of a ledger; the message may be lost. */
         void requestReport(String incarnation, int partition);
     }
 
@@ -192,20 +192,12 @@
         }
         if (nowMillis >= partition.nextRequestAtMillis) {
             partition.nextRequestAtMillis = nowMillis + REQUEST_INTERVAL_MILLIS;
-            missing.forEach(incarnation -> requestReport(incarnation, index));
+            missing.forEach(incarnation -> routers.requestReport(incarnation, index));
             // Other routers may have committed reports themselves.
             ledger.refresh();
         }
     }
 
-    private void requestReport(String incarnation, int index) {
-        if (incarnation.equals(identity.incarnation())) {
-            onReportRequested(index);
-            return;
-        }
-        routers.requestReport(incarnation, index);
-    }
-
     private Set<String> missingReporters(LedgerBook book) {
         Set<String> missing = new HashSet<>(routers.receivedWithin(maxSilentMillis));
         missing.add(identity.incarnation());
