End a response without a length only where the server ended it

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a reset during an upload is reported as the failure of the write, not as that of a read. The transport closes the connection of a failed write by itself, and the decoder completes a response without a length whenever its connection closes, for whatever reason. The one reason that was looked at was a failed read. The same cause acts where this process closes connections: a router that ended delivered the part that had arrived as a complete answer.

Evidence: the stand-in ScriptedServer sends such answers. Ruled out: resets seen by a read were failures before already (aResponseWithoutALengthThatIsResetIsAFailure).

Change: connections stay open when the server ends its side, which is reported as an event of its own. ResponseDecoder completes a response without a length at this event only, and not after a failed write, because the socket reports the reset once and reads like a regular end afterwards. After a failed write, what has arrived is still read for at most 500 ms, so that complete early responses are delivered. A connection is reused only once its request has been written.

The call of HttpClientTest moved to ClientCalls, which both classes use.

--- a/src/main/java/org/radishspan/http/HttpClient.java
+++ b/src/main/java/org/radishspan/http/HttpClient.java
@@ -20,19 +20,21 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
@@ -62,6 +64,9 @@
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /** What arrived before the write of a request failed is in the receive buffer and is read within a few milliseconds. */
+    private static final long READ_AFTER_FAILED_WRITE_MILLIS = 500;
+
     /** Limit of skipped bytes of responses to other requests per call: the size of the users' longest body. */
     private static final int MAX_SKIPPED_BYTES = 4_194_304;
 
@@ -112,10 +117,14 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // The end of the server's side is reported as an event, see ResponseDecoder.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                // A response that arrived before the write of its request failed can still be read.
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new ResponseHandler());
+                        channel.pipeline().addLast(new HttpRequestEncoder()).addLast(new ResponseHandler());
                     }
                 })
                 .connect(host, port);
@@ -177,6 +186,8 @@
         private @Nullable ScheduledFuture<?> deadline;
         private long progressAtNanos;
         private boolean sent;
+        private boolean requestWritten;
+        private boolean writeFailed;
         private boolean reused;
         private boolean keepAlive = true;
         private boolean skipping;
@@ -192,11 +203,12 @@
 
         void start(Channel connected) {
             channel = connected;
-            connected
-                    .pipeline()
-                    .addFirst(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                    .get(ResponseHandler.class)
-                    .exchange = this;
+            ResponseDecoder decoder = new ResponseDecoder(
+                    MAX_INITIAL_LINE_BYTES,
+                    MAX_HEADER_BYTES,
+                    MAX_CHUNK_BYTES,
+                    request.method().equals(HttpMethod.HEAD.name()));
+            connected.pipeline().addFirst(decoder).get(ResponseHandler.class).exchange = this;
             DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                     HttpVersion.HTTP_1_1,
                     HttpMethod.valueOf(request.method()),
@@ -210,11 +222,34 @@
                 message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
             }
             sent = true;
-            connected.writeAndFlush(message);
+            connected.writeAndFlush(message).addListener(written -> onWritten(connected, decoder, written));
             progressAtNanos = System.nanoTime();
             scheduleDeadline(connected, request.progressTimeoutMillis());
         }
 
+        /**
+         * Records that the request has been written. If the write failed, the server does not read on, but may have responded
+         * before: what has arrived is read, and a response that is not complete then is a failure.
+         */
+        private void onWritten(Channel connected, ResponseDecoder decoder, Future<?> written) {
+            if (written.isSuccess()) {
+                requestWritten = true;
+                return;
+            }
+            if (finished) {
+                return;
+            }
+            writeFailed = true;
+            decoder.onRequestAborted();
+            connected.config().setAutoRead(true);
+            connected
+                    .eventLoop()
+                    .schedule(
+                            () -> fail("cannot write the request to " + address(request)),
+                            READ_AFTER_FAILED_WRITE_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+
         private void scheduleDeadline(Channel connected, long delayMillis) {
             deadline = connected.eventLoop().schedule(this::checkProgress, delayMillis, TimeUnit.MILLISECONDS);
         }
@@ -293,10 +328,10 @@
                 return;
             }
             Channel connected = detach();
-            if (connected != null && keepAlive) {
-                // When the codec is removed, it passes on any bytes received after the response. ResponseHandler then
+            if (connected != null && keepAlive && requestWritten) {
+                // When the decoder is removed, it passes on any bytes received after the response. ResponseHandler then
                 // closes the connection before it can enter the idle pool.
-                connected.pipeline().remove(HttpClientCodec.class);
+                connected.pipeline().remove(ResponseDecoder.class);
                 connected.eventLoop().execute(() -> releaseIdle(address(request), connected, idleNanos));
             } else if (connected != null) {
                 connected.close();
@@ -337,7 +372,7 @@
         @Override
         public void setPaused(boolean paused) {
             Channel connected = channel;
-            if (connected != null) {
+            if (connected != null && !writeFailed) {
                 connected.config().setAutoRead(!paused);
             }
         }
@@ -391,22 +426,29 @@
             }
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                failCurrent("the server closed the connection");
+                context.close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            failCurrent("the connection was closed");
+        }
+
+        private void failCurrent(String message) {
             Exchange current = exchange;
             if (current != null) {
-                current.fail("the connection was closed");
+                current.fail(message);
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // The failure is reported before the connection is closed, because closing it regularly would complete a
-            // response that has no content length.
-            Exchange current = exchange;
-            if (current != null) {
-                current.fail("connection error: " + cause.getMessage());
-            }
+            failCurrent("connection error: " + cause.getMessage());
             context.close();
         }
     }
--- /dev/null
+++ b/src/test/java/org/radishspan/http/BrokenResponseTest.java
@@ -0,0 +1,179 @@
+package org.radishspan.http;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+
+/** Tests that what servers in trouble send is no response, and that sound responses of every form are. */
+public class BrokenResponseTest {
+    private static final EventLoopGroup GROUP = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    /** More than the sockets of both sides hold, so that the request is still being written when the response arrives. */
+    private static final byte[] LONG_BODY = new byte[16_777_216];
+
+    @AfterClass
+    public static void stop() {
+        GROUP.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static String get(String response) throws Exception {
+        try (ScriptedServer server = ScriptedServer.sending(response)) {
+            return new ClientCalls(GROUP).get(server.port());
+        }
+    }
+
+    private static String upload(ScriptedServer.Script script) throws Exception {
+        try (ScriptedServer server = new ScriptedServer(script)) {
+            return new ClientCalls(GROUP).send(server.port(), "POST", LONG_BODY);
+        }
+    }
+
+    /** Responses that arrive while a long request is still being written. */
+    public static class EarlyResponses {
+        @DataProvider
+        public static Object[][] incomplete() {
+            return new Object[][] {
+                {"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\npart"},
+                {"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n"},
+                {"HTTP/1.0 200 OK\r\nX-Id: mine\r\n\r\npart"},
+                {"HTTP/1.1 200 OK\r\nX-Id: mine\r\nConnection: close\r\n\r\npart"},
+                {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n"},
+                {"HTTP/1.1 500 Internal Server Error\r\n\r\npart"},
+                {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart"},
+                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+            };
+        }
+
+        /** Callers got a part of a response as a complete one: the server had reset the connection during the upload. */
+        @Test(dataProvider = "incomplete")
+        public void thatAreCutOffByAResetAreFailures(String response) throws Exception {
+            assertEquals(
+                    upload(connection -> {
+                        ScriptedServer.readHead(connection);
+                        ScriptedServer.send(connection, response);
+                        ScriptedServer.reset(connection);
+                    }),
+                    ClientCalls.FAILED);
+        }
+
+        /** The same, if the client has already read the part of the response when the connection is reset. */
+        @Test(dataProvider = "incomplete")
+        public void thatAreCutOffByALaterResetAreFailures(String response) throws Exception {
+            assertEquals(
+                    upload(connection -> {
+                        ScriptedServer.readHead(connection);
+                        ScriptedServer.send(connection, response);
+                        awaitReader();
+                        ScriptedServer.reset(connection);
+                    }),
+                    ClientCalls.FAILED);
+        }
+
+        @DataProvider
+        public static Object[][] complete() {
+            return new Object[][] {
+                {"HTTP/1.1 413 Content Too Large\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nbig", "413 big"},
+                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "200 body"},
+                {"HTTP/1.1 204 No Content\r\nX-Id: mine\r\n\r\n", "204 "},
+            };
+        }
+
+        @Test(dataProvider = "complete")
+        public void thatAreCompleteAreDeliveredAlthoughTheConnectionIsReset(String response, String expected)
+                throws Exception {
+            assertEquals(
+                    upload(connection -> {
+                        ScriptedServer.readHead(connection);
+                        ScriptedServer.send(connection, response);
+                        ScriptedServer.reset(connection);
+                    }),
+                    expected);
+        }
+
+        @Test(dataProvider = "complete")
+        public void thatAreCompleteAreDeliveredWhileTheServerReadsOn(String response, String expected)
+                throws Exception {
+            assertEquals(
+                    upload(connection -> {
+                        ScriptedServer.readHead(connection);
+                        ScriptedServer.send(connection, response);
+                        ScriptedServer.readToEnd(connection);
+                    }),
+                    expected);
+        }
+
+        @Test
+        public void withoutALengthEndWithTheConnection() throws Exception {
+            assertEquals(
+                    upload(connection -> {
+                        ScriptedServer.readHead(connection);
+                        ScriptedServer.send(connection, "HTTP/1.1 200 OK\r\n\r\nall of it");
+                        connection.shutdownOutput();
+                        ScriptedServer.readToEnd(connection);
+                    }),
+                    "200 all of it");
+        }
+
+        /** A server may read the rest of a long request after its response. It must get nothing else in its place. */
+        @Test
+        public void areNotFollowedByAnotherRequestInPlaceOfTheRest() throws Exception {
+            BlockingQueue<Long> bytes = new LinkedBlockingQueue<>();
+            try (ScriptedServer server = new ScriptedServer(connection -> {
+                ScriptedServer.readHead(connection);
+                ScriptedServer.send(connection, "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok");
+                awaitReader();
+                bytes.add(ScriptedServer.readToEnd(connection));
+            })) {
+                ClientCalls calls = new ClientCalls(GROUP);
+                assertEquals(calls.send(server.port(), "POST", LONG_BODY), "200 ok");
+                assertEquals(calls.get(server.port()), "200 ok");
+                assertEquals(server.connections(), 2, "a connection on which a request is being written is not reused");
+                assertNotEquals(bytes.poll(ClientCalls.WAIT_MILLIS, TimeUnit.MILLISECONDS), null);
+            }
+        }
+
+        private static void awaitReader() {
+            try {
+                Thread.sleep(200);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** What ends a response that has neither a length nor chunks. */
+    public static class ResponsesWithoutALength {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n";
+
+        @Test
+        public void endWithTheConnection() throws Exception {
+            assertEquals(get(HEAD + "all of it"), "200 all of it");
+            assertEquals(get(HEAD), "200 ");
+            assertEquals(get("HTTP/1.0 200 OK\r\n\r\nall of it"), "200 all of it");
+        }
+
+        /** A client that ends cuts the connection off itself, and must not take what has arrived for the whole response. */
+        @Test
+        public void areFailuresIfTheClientClosesTheConnection() throws Exception {
+            EventLoopGroup ending = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            try (ScriptedServer server = new ScriptedServer(connection -> {
+                ScriptedServer.readHead(connection);
+                ScriptedServer.send(connection, HEAD + "part");
+                ending.shutdownGracefully(50, ClientCalls.WAIT_MILLIS, TimeUnit.MILLISECONDS);
+                ScriptedServer.readToEnd(connection);
+            })) {
+                assertEquals(new ClientCalls(ending).get(server.port()), ClientCalls.FAILED);
+            }
+        }
+    }
+}
--- a/src/test/java/org/radishspan/http/HttpClientTest.java
+++ b/src/test/java/org/radishspan/http/HttpClientTest.java
@@ -140,42 +140,7 @@
     }
 
     private String call(HttpClient client, int port) throws InterruptedException {
-        BlockingQueue<String> results = new LinkedBlockingQueue<>();
-        HttpTransport.Request request = new HttpTransport.Request(
-                InetAddress.getLoopbackAddress().getHostAddress(),
-                port,
-                "GET",
-                "/",
-                List.of(Map.entry("X-Id", "mine")),
-                new byte[0],
-                WAIT_MILLIS,
-                (response, reused) -> response.get("X-Id") == null ? !reused : "mine".equals(response.get("X-Id")));
-        group.next()
-                .execute(() -> client.send(request, new HttpTransport.Listener() {
-                    private final StringBuilder body = new StringBuilder();
-
-                    @Override
-                    public void onHead(int status, HttpTransport.Headers headers) {
-                        body.append(status).append(' ');
-                    }
-
-                    @Override
-                    public void onBody(byte[] bytes) {
-                        body.append(new String(bytes, UTF_8));
-                    }
-
-                    @Override
-                    public void onEnd() {
-                        results.add(body.toString());
-                    }
-
-                    @Override
-                    public void onFailure(String message, boolean sent) {
-                        results.add("failed");
-                    }
-                }));
-        String result = results.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        return result == null ? "no result" : result;
+        return new ClientCalls(group, client).get(port);
     }
 
     @Test
