Take a response only if its status line is valid

What callers saw: status 600, 999 and 1000 as an answer, and whole answers under a status line that names another protocol or version, no number of three digits, or that holds control characters. After status 000, 099 and 20 the router took the response for an informational one, skipped it and let the caller wait until the progress time-out.

Cause: the decoder reads any number as a status and any word as a protocol, skips blanks and control characters before the line, and the client took every status below 200 for an informational response. Nothing compared the line with the grammar.

Evidence: BrokenResponseTest.StatusLines sends 26 invalid lines, each on a connection that is closed and on one that stays open. Eight valid forms (no reason, Latin-1 in the reason, HTTP/1.0, 599, an informational response first) were and are accepted.

Change: ResponseSyntax checks the bytes ahead of the decoder, which gets nothing of a line that is not valid. An invalid response fails the call at once and closes the connection; what follows it there is discarded. Status 101 is invalid, as no other protocol is ever asked for.

--- a/src/main/java/org/radishspan/http/HttpClient.java
+++ b/src/main/java/org/radishspan/http/HttpClient.java
@@ -23,6 +23,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -448,7 +449,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            failCurrent("connection error: " + cause.getMessage());
+            boolean invalid = cause instanceof DecoderException;
+            failCurrent((invalid ? "the response is not valid HTTP: " : "connection error: ") + cause.getMessage());
             context.close();
         }
     }
--- /dev/null
+++ b/src/main/java/org/radishspan/http/ResponseSyntax.java
@@ -0,0 +1,127 @@
+package org.radishspan.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.http.HttpConstants;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+/**
+ * Checks the lines of one response against the grammar of RFC 9110 and RFC 9112, ahead of its decoder.
+ *
+ * <p>The decoder is lenient: it takes any number for the status, for example. Whatever a server in trouble sends in such a
+ * form is not its response.
+ */
+final class ResponseSyntax {
+    private static final byte[] PROTOCOL = "HTTP/1.".getBytes(ISO_8859_1);
+    private static final int STATUS_OFFSET = PROTOCOL.length + 2;
+    private static final int STATUS_DIGITS = 3;
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
+    private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int MAX_NUMBER_DIGITS = 15;
+    private static final int DELETE = 0x7f;
+
+    /** What the next bytes of a response are. */
+    private enum Part {
+        STATUS_LINE,
+        /** Bytes that need no check here. */
+        UNCHECKED
+    }
+
+    private Part part = Part.STATUS_LINE;
+
+    /**
+     * Checks received bytes. Lines are checked once they are complete.
+     *
+     * @param from the index of the first byte that has not been checked before
+     * @return the index after the last byte checked
+     * @throws CorruptedFrameException if the bytes are not part of a response
+     */
+    int check(ByteBuf in, int from) {
+        int at = from;
+        while (at < in.writerIndex() && part != Part.UNCHECKED) {
+            int next = checkLine(in, at);
+            if (next == at) {
+                return at;
+            }
+            at = next;
+        }
+        return part == Part.UNCHECKED ? in.writerIndex() : at;
+    }
+
+    /** Checks the line at an index; returns the index of the next one, or the same index if the line is incomplete. */
+    private int checkLine(ByteBuf in, int from) {
+        if (part == Part.STATUS_LINE) {
+            checkProtocol(in, from);
+        }
+        int lineFeed = in.indexOf(from, in.writerIndex(), HttpConstants.LF);
+        if (lineFeed < 0) {
+            return from;
+        }
+        boolean carriageReturn = lineFeed > from && in.getByte(lineFeed - 1) == HttpConstants.CR;
+        require(carriageReturn, "a line does not end with a carriage return and a line feed");
+        checkLine(in.toString(from, lineFeed - 1 - from, ISO_8859_1));
+        return lineFeed + 1;
+    }
+
+    private static void checkProtocol(ByteBuf in, int from) {
+        int bytes = Math.min(PROTOCOL.length, in.writerIndex() - from);
+        for (int i = 0; i < bytes; i++) {
+            require(in.getByte(from + i) == PROTOCOL[i], "the response does not begin with a protocol version");
+        }
+    }
+
+    private void checkLine(String line) {
+        switch (part) {
+            case STATUS_LINE -> checkStatusLine(line);
+            default -> throw new IllegalStateException(part + " has no lines");
+        }
+    }
+
+    private void checkStatusLine(String line) {
+        int end = STATUS_OFFSET + STATUS_DIGITS;
+        boolean versionValid = line.length() >= end
+                && isDigit(line.charAt(PROTOCOL.length))
+                && line.charAt(PROTOCOL.length + 1) == ' ';
+        require(versionValid, "the status line has no version or no status");
+        String status = line.substring(STATUS_OFFSET, end);
+        boolean threeDigits = isWholeNumber(status) && (line.length() == end || line.charAt(end) == ' ');
+        require(threeDigits, "the status is not a number of three digits");
+        int code = Integer.parseInt(status);
+        require(code >= MIN_STATUS && code <= MAX_STATUS, "the status " + status + " is not between 100 and 599");
+        require(code != SWITCHING_PROTOCOLS, "the server switches to a protocol that was not asked for");
+        require(isText(line), "the status line holds a control character");
+        part = Part.UNCHECKED;
+    }
+
+    private static boolean isDigit(char character) {
+        return character >= '0' && character <= '9';
+    }
+
+    private static boolean isWholeNumber(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (!isDigit(text.charAt(i))) {
+                return false;
+            }
+        }
+        return !text.isEmpty() && text.length() <= MAX_NUMBER_DIGITS;
+    }
+
+    /** Returns whether a text has no control characters but tabs. */
+    private static boolean isText(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char character = text.charAt(i);
+            if (character == DELETE || (character < ' ' && character != '\t')) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static void require(boolean valid, String fault) {
+        if (!valid) {
+            throw new CorruptedFrameException(fault);
+        }
+    }
+}
--- a/src/test/java/org/radishspan/http/BrokenResponseTest.java
+++ b/src/test/java/org/radishspan/http/BrokenResponseTest.java
@@ -32,6 +32,21 @@
         }
     }
 
+    private static String getOnOpenConnection(String response) throws Exception {
+        return sendOnOpenConnection("GET", response);
+    }
+
+    /** Returns the result of a call whose connection stays open after the response. */
+    private static String sendOnOpenConnection(String method, String response) throws Exception {
+        try (ScriptedServer server = new ScriptedServer(connection -> {
+            ScriptedServer.readHead(connection);
+            ScriptedServer.send(connection, response);
+            ScriptedServer.readToEnd(connection);
+        })) {
+            return new ClientCalls(GROUP).send(server.port(), method, new byte[0]);
+        }
+    }
+
     private static String upload(ScriptedServer.Script script) throws Exception {
         try (ScriptedServer server = new ScriptedServer(script)) {
             return new ClientCalls(GROUP).send(server.port(), "POST", LONG_BODY);
@@ -176,4 +191,73 @@
             }
         }
     }
+
+    /** First lines of responses. */
+    public static class StatusLines {
+        private static final String REST = "\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+
+        @DataProvider
+        public static Object[][] invalid() {
+            return new Object[][] {
+                {"HTTP/1.1 000 Zero"},
+                {"HTTP/1.1 099 Low"},
+                {"HTTP/1.1 600 High"},
+                {"HTTP/1.1 999 High"},
+                {"HTTP/1.1 1000 Long"},
+                {"HTTP/1.1 20 Short"},
+                {"HTTP/1.1 0200 OK"},
+                {"HTTP/1.1 +200 OK"},
+                {"HTTP/1.1 -200 OK"},
+                {"HTTP/1.1 2OO OK"},
+                {"HTTP/1.1  200 OK"},
+                {"HTTP/1.1\t200 OK"},
+                {"HTTP/1.1 200OK"},
+                {"HTTP/1.1 200\tOK"},
+                {"HTTP/1.1 200 O\001K"},
+                {"HTTP/1.1 200 O\000K"},
+                {"HTTP/1.1 101 Switching Protocols"},
+                {"HTTP/1.1"},
+                {"HTTP/1.1 "},
+                {" HTTP/1.1 200 OK"},
+                {"\r\nHTTP/1.1 200 OK"},
+                {"\000HTTP/1.1 200 OK"},
+                {"http/1.1 200 OK"},
+                {"HTTP/2.0 200 OK"},
+                {"HTTP/1.x 200 OK"},
+                {"ICY/1.1 200 OK"},
+            };
+        }
+
+        /** Callers got status 000 and the like from servers in trouble, or waited until their deadline. */
+        @Test(dataProvider = "invalid")
+        public void thatAreInvalidAreFailures(String line) throws Exception {
+            assertEquals(get(line + REST), ClientCalls.FAILED);
+            assertEquals(getOnOpenConnection(line + REST), ClientCalls.FAILED);
+        }
+
+        /** What follows an invalid response on the same connection is not trusted either. */
+        @Test
+        public void thatAreInvalidAreNotSkipped() throws Exception {
+            assertEquals(get("HTTP/1.1 000 Zero" + REST + "HTTP/1.1 200 OK" + REST), ClientCalls.FAILED);
+        }
+
+        @DataProvider
+        public static Object[][] valid() {
+            return new Object[][] {
+                {"HTTP/1.1 200 OK", "200 ok"},
+                {"HTTP/1.1 200 ", "200 ok"},
+                {"HTTP/1.1 200", "200 ok"},
+                {"HTTP/1.0 404 Not Found", "404 ok"},
+                {"HTTP/1.1 200 Tr\350s bien", "200 ok"},
+                {"HTTP/1.1 299 Other", "299 ok"},
+                {"HTTP/1.1 599 Last", "599 ok"},
+                {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", "200 ok"},
+            };
+        }
+
+        @Test(dataProvider = "valid")
+        public void thatAreValidAreAccepted(String line, String expected) throws Exception {
+            assertEquals(getOnOpenConnection(line + REST), expected);
+        }
+    }
 }
