Take a response only if all its field lines are valid

What callers saw: answers in whose head the name of a field held a blank or a tab, or that had a line without a colon. The line was passed on under another name ("X Y: 1" as "X"), and where it was the damaged "Content Length" the body ended elsewhere: "ok" and whatever came after it until the connection ended.

Cause: the decoder ends the name of a response's field at the first blank and drops the rest of it, and reads a line without a colon as a field without a value.

Evidence: BrokenResponseTest.Fields. On the code before, 8 of 35 tests failed, each with "200 ok" in place of a failure: five of the 21 invalid lines and three of the six damaged lengths. The others (control characters in names and values, indented lines that continue the one before, an empty name) were rejected by the decoder already; their tests are kept.

Change: ResponseSyntax takes a line only if its name is a token directly before the colon and it holds no control characters but tabs. RFC 9112 lets a proxy remove a blank before the colon; here the blank is rejected too, because in an answer of a target in trouble it may as well be a damaged letter of another name.

After: BrokenResponseTest, HttpClientTest, HttpServerTest and ObjectApiTest, 164 tests, 0 failures.

--- a/src/main/java/org/radishspan/http/ResponseSyntax.java
+++ b/src/main/java/org/radishspan/http/ResponseSyntax.java
@@ -9,8 +9,9 @@
 /**
  * Checks the lines of one response against the grammar of RFC 9110 and RFC 9112, ahead of its decoder.
  *
- * <p>The decoder is lenient: it takes any number for the status, for example. Whatever a server in trouble sends in such a
- * form is not its response.
+ * <p>The decoder is lenient: it takes any number for the status, and ends the name of a field at the first blank, for
+ * example. Whatever a server in trouble sends in such a form is not its response: its status, its fields or the end of its
+ * body may be different ones.
  */
 final class ResponseSyntax {
     private static final byte[] PROTOCOL = "HTTP/1.".getBytes(ISO_8859_1);
@@ -21,10 +22,12 @@
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int MAX_NUMBER_DIGITS = 15;
     private static final int DELETE = 0x7f;
+    private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
     /** What the next bytes of a response are. */
     private enum Part {
         STATUS_LINE,
+        FIELD_LINE,
         /** Bytes that need no check here. */
         UNCHECKED
     }
@@ -75,6 +78,7 @@
     private void checkLine(String line) {
         switch (part) {
             case STATUS_LINE -> checkStatusLine(line);
+            case FIELD_LINE -> checkFieldLine(line);
             default -> throw new IllegalStateException(part + " has no lines");
         }
     }
@@ -92,7 +96,25 @@
         require(code >= MIN_STATUS && code <= MAX_STATUS, "the status " + status + " is not between 100 and 599");
         require(code != SWITCHING_PROTOCOLS, "the server switches to a protocol that was not asked for");
         require(isText(line), "the status line holds a control character");
-        part = Part.UNCHECKED;
+        part = Part.FIELD_LINE;
+    }
+
+    private void checkFieldLine(String line) {
+        if (line.isEmpty()) {
+            part = Part.UNCHECKED;
+            return;
+        }
+        fieldName(line);
+    }
+
+    /** Returns the name of the field in a line. A line that continues the one before it has no valid name. */
+    private static String fieldName(String line) {
+        int colon = line.indexOf(':');
+        require(colon > 0, "a line has no field name");
+        String name = line.substring(0, colon);
+        require(isToken(name), "a field name holds a character that names may not hold");
+        require(isText(line), "the field " + name + " holds a control character");
+        return name;
     }
 
     private static boolean isDigit(char character) {
@@ -108,6 +130,17 @@
         return !text.isEmpty() && text.length() <= MAX_NUMBER_DIGITS;
     }
 
+    private static boolean isToken(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char character = text.charAt(i);
+            boolean letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+            if (!letter && !isDigit(character) && TOKEN_PUNCTUATION.indexOf(character) < 0) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
+    }
+
     /** Returns whether a text has no control characters but tabs. */
     private static boolean isText(String text) {
         for (int i = 0; i < text.length(); i++) {
--- a/src/test/java/org/radishspan/http/BrokenResponseTest.java
+++ b/src/test/java/org/radishspan/http/BrokenResponseTest.java
@@ -260,4 +260,86 @@
             assertEquals(getOnOpenConnection(line + REST), expected);
         }
     }
+
+    /** Lines of the head below the first one. */
+    public static class Fields {
+        private static String with(String line) {
+            return "HTTP/1.1 200 OK\r\nX-Id: mine\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok";
+        }
+
+        @DataProvider
+        public static Object[][] invalid() {
+            return new Object[][] {
+                {"X Y: 1"},
+                {"X-Y : 1"},
+                {"X-Y\t: 1"},
+                {"X\tY: 1"},
+                {" X-Y: 1"},
+                {"\tX-Y: 1"},
+                {" "},
+                {"\001X-Y: 1"},
+                {"X\001Y: 1"},
+                {"X\000Y: 1"},
+                {"X\013Y: 1"},
+                {"X\rY: 1"},
+                {"X\177Y: 1"},
+                {"X\351Y: 1"},
+                {"X(Y): 1"},
+                {": 1"},
+                {"no colon"},
+                {"X-Y: a\000b"},
+                {"X-Y: a\001b"},
+                {"X-Y: a\rb"},
+                {"X-Y: a\177b"},
+            };
+        }
+
+        /** Callers got such lines, or responses whose fields had been taken apart differently from how they were meant. */
+        @Test(dataProvider = "invalid")
+        public void thatAreInvalidAreFailures(String line) throws Exception {
+            assertEquals(get(with(line)), ClientCalls.FAILED);
+            assertEquals(
+                    get("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok"),
+                    ClientCalls.FAILED,
+                    "as the first field");
+        }
+
+        @DataProvider
+        public static Object[][] damagedLengths() {
+            return new Object[][] {
+                {"Content Length: 2"},
+                {"Content-Length : 2"},
+                {"Content-\tLength: 2"},
+                {"Content-\001Length: 2"},
+                {" Content-Length: 2"},
+                {"Content-Length\000: 2"},
+            };
+        }
+
+        /** The body was taken to end elsewhere, if the damaged name was the one of its length. */
+        @Test(dataProvider = "damagedLengths")
+        public void thatDamageTheLengthAreFailures(String line) throws Exception {
+            assertEquals(get("HTTP/1.1 200 OK\r\nX-Id: mine\r\n" + line + "\r\n\r\nok"), ClientCalls.FAILED);
+            assertEquals(get("HTTP/1.1 200 OK\r\nX-Id: mine\r\n" + line + "\r\n\r\nok and more"), ClientCalls.FAILED);
+        }
+
+        @DataProvider
+        public static Object[][] valid() {
+            return new Object[][] {
+                {"X-Empty:"},
+                {"X-Empty: "},
+                {"X-Tight:1"},
+                {"X-Tab:\ta\tb\t"},
+                {"X-Latin: \351"},
+                {"X-Colons: a:b: c"},
+                {"!#$%&'*+-.^_`|~09azAZ: 1"},
+                {"X-Id: mine\r\nX-Id: mine"},
+            };
+        }
+
+        @Test(dataProvider = "valid")
+        public void thatAreValidAreAccepted(String line) throws Exception {
+            assertEquals(get(with(line)), "200 ok");
+        }
+    }
 }
