Take a response only if its length, its coding and its trailers are valid

What callers saw: bodies in a transfer coding that nobody decoded ("gzip", "gzip, chunked", "identity", "xchunked"), passed on as the target's body without the header that names the coding; and answers whose trailer section held damaged lines.

Cause: the decoder treats a coding that it does not know like none, keeps only the chunks of a list of codings, and reads trailer lines like those of a head. The same class as the lines of the head: what the decoder makes of it is not what the target sent.

Evidence: BrokenResponseTest.Framing. Lengths that are no whole number or given twice, chunks beside a length, chunks in HTTP/1.0, wrong sizes and ends of chunks were rejected by the decoder already; their tests are kept. Eight valid forms and responses without bodies to HEAD, 204 and 304 were and are accepted, also if every byte arrives by itself.

Change: ResponseSyntax checks length and transfer coding at the end of the head, and follows the chunks up to the end of the trailers, whose lines it checks like those of the head.

--- a/src/main/java/org/radishspan/http/ResponseSyntax.java
+++ b/src/main/java/org/radishspan/http/ResponseSyntax.java
@@ -3,14 +3,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpConstants;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 /**
  * Checks the lines of one response against the grammar of RFC 9110 and RFC 9112, ahead of its decoder.
  *
- * <p>The decoder is lenient: it takes any number for the status, and ends the name of a field at the first blank, for
- * example. Whatever a server in trouble sends in such a form is not its response: its status, its fields or the end of its
+ * <p>The decoder is lenient: it takes any number for the status, ends the name of a field at the first blank, and takes a body
+ * of an unknown transfer coding as it is, for example. Whatever a server in trouble sends in such a form is not its response: its status, its fields or the end of its
  * body may be different ones.
  */
 final class ResponseSyntax {
@@ -21,6 +23,7 @@
     private static final int MAX_STATUS = 599;
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int MAX_NUMBER_DIGITS = 15;
+    private static final int RADIX_HEX = 16;
     private static final int DELETE = 0x7f;
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
@@ -28,11 +31,19 @@
     private enum Part {
         STATUS_LINE,
         FIELD_LINE,
-        /** Bytes that need no check here. */
+        CHUNK_SIZE,
+        CHUNK_DATA,
+        CHUNK_END,
+        TRAILER_LINE,
+        /** Bytes that need no check here: a body of a given length, or up to the end of the connection. */
         UNCHECKED
     }
 
     private Part part = Part.STATUS_LINE;
+    private boolean olderVersion;
+    private boolean lengthGiven;
+    private boolean chunked;
+    private long remainingChunkBytes;
 
     /**
      * Checks received bytes. Lines are checked once they are complete.
@@ -44,7 +55,7 @@
     int check(ByteBuf in, int from) {
         int at = from;
         while (at < in.writerIndex() && part != Part.UNCHECKED) {
-            int next = checkLine(in, at);
+            int next = part == Part.CHUNK_DATA ? skipChunkData(in, at) : checkLine(in, at);
             if (next == at) {
                 return at;
             }
@@ -53,6 +64,15 @@
         return part == Part.UNCHECKED ? in.writerIndex() : at;
     }
 
+    private int skipChunkData(ByteBuf in, int from) {
+        int skipped = (int) Math.min(remainingChunkBytes, in.writerIndex() - from);
+        remainingChunkBytes -= skipped;
+        if (remainingChunkBytes == 0) {
+            part = Part.CHUNK_END;
+        }
+        return from + skipped;
+    }
+
     /** Checks the line at an index; returns the index of the next one, or the same index if the line is incomplete. */
     private int checkLine(ByteBuf in, int from) {
         if (part == Part.STATUS_LINE) {
@@ -79,6 +99,9 @@
         switch (part) {
             case STATUS_LINE -> checkStatusLine(line);
             case FIELD_LINE -> checkFieldLine(line);
+            case CHUNK_SIZE -> checkChunkSize(line);
+            case CHUNK_END -> checkChunkEnd(line);
+            case TRAILER_LINE -> checkTrailerLine(line);
             default -> throw new IllegalStateException(part + " has no lines");
         }
     }
@@ -96,10 +119,52 @@
         require(code >= MIN_STATUS && code <= MAX_STATUS, "the status " + status + " is not between 100 and 599");
         require(code != SWITCHING_PROTOCOLS, "the server switches to a protocol that was not asked for");
         require(isText(line), "the status line holds a control character");
+        olderVersion = line.charAt(PROTOCOL.length) == '0';
         part = Part.FIELD_LINE;
     }
 
     private void checkFieldLine(String line) {
+        if (line.isEmpty()) {
+            require(!lengthGiven || !chunked, "the response has both a length and chunks");
+            part = chunked ? Part.CHUNK_SIZE : Part.UNCHECKED;
+            return;
+        }
+        String name = fieldName(line);
+        String value = line.substring(name.length() + 1).strip();
+        if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
+            require(!lengthGiven, "the response has several lengths");
+            require(isWholeNumber(value), "the length is not a whole number");
+            lengthGiven = true;
+        }
+        if (HttpHeaderNames.TRANSFER_ENCODING.contentEqualsIgnoreCase(name)) {
+            boolean onlyChunks = !chunked && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(value);
+            require(onlyChunks, "the body has another transfer coding than chunks");
+            require(!olderVersion, "a response of HTTP/1.0 has chunks");
+            chunked = true;
+        }
+    }
+
+    private void checkChunkSize(String line) {
+        int end = 0;
+        long size = 0;
+        while (end < line.length() && end < MAX_NUMBER_DIGITS && Character.digit(line.charAt(end), RADIX_HEX) >= 0) {
+            size = size * RADIX_HEX + Character.digit(line.charAt(end), RADIX_HEX);
+            end++;
+        }
+        String extension = line.substring(end).strip();
+        boolean valid = end > 0 && (extension.isEmpty() || extension.startsWith(";"));
+        require(valid, "the size of a chunk is not a number");
+        require(isText(line), "the extension of a chunk holds a control character");
+        remainingChunkBytes = size;
+        part = size == 0 ? Part.TRAILER_LINE : Part.CHUNK_DATA;
+    }
+
+    private void checkChunkEnd(String line) {
+        require(line.isEmpty(), "a chunk is longer than its size");
+        part = Part.CHUNK_SIZE;
+    }
+
+    private void checkTrailerLine(String line) {
         if (line.isEmpty()) {
             part = Part.UNCHECKED;
             return;
--- a/src/test/java/org/radishspan/http/BrokenResponseTest.java
+++ b/src/test/java/org/radishspan/http/BrokenResponseTest.java
@@ -342,4 +342,139 @@
             assertEquals(get(with(line)), "200 ok");
         }
     }
+
+    /** The length and the transfer coding of bodies. */
+    public static class Framing {
+        @DataProvider
+        public static Object[][] invalidFields() {
+            return new Object[][] {
+                {"Content-Length:"},
+                {"Content-Length: +2"},
+                {"Content-Length: -2"},
+                {"Content-Length: 0x2"},
+                {"Content-Length: 2;"},
+                {"Content-Length: 2 2"},
+                {"Content-Length: 2, 2"},
+                {"Content-Length: 2.0"},
+                {"Content-Length: 99999999999999999999"},
+                {"Content-Length: 2\r\nContent-Length: 2"},
+                {"Content-Length: 2\r\nContent-Length: 1"},
+                {"Transfer-Encoding: gzip"},
+                {"Transfer-Encoding: identity"},
+                {"Transfer-Encoding: xchunked"},
+                {"Transfer-Encoding:"},
+            };
+        }
+
+        @Test(dataProvider = "invalidFields")
+        public void thatIsInvalidIsAFailure(String fields) throws Exception {
+            assertEquals(get("HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\nok"), ClientCalls.FAILED);
+        }
+
+        @DataProvider
+        public static Object[][] invalidChunkedFields() {
+            return new Object[][] {
+                {"HTTP/1.1", "Transfer-Encoding: gzip, chunked"},
+                {"HTTP/1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"},
+                {"HTTP/1.1", "Transfer-Encoding: chunked, chunked"},
+                {"HTTP/1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"},
+                {"HTTP/1.1", "Transfer-Encoding: chunked\r\nContent-Length: 2"},
+                {"HTTP/1.1", "Content-Length: 12\r\nTransfer-Encoding: chunked"},
+                {"HTTP/1.0", "Transfer-Encoding: chunked"},
+            };
+        }
+
+        @Test(dataProvider = "invalidChunkedFields")
+        public void thatContradictsItselfIsAFailure(String version, String fields) throws Exception {
+            assertEquals(get(version + " 200 OK\r\n" + fields + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"), ClientCalls.FAILED);
+        }
+
+        @DataProvider
+        public static Object[][] invalidChunks() {
+            return new Object[][] {
+                {"\r\nok\r\n0\r\n\r\n"},
+                {"x\r\nok\r\n0\r\n\r\n"},
+                {"-2\r\nok\r\n0\r\n\r\n"},
+                {"0x2\r\nok\r\n0\r\n\r\n"},
+                {" 2\r\nok\r\n0\r\n\r\n"},
+                {"2 2\r\nok\r\n0\r\n\r\n"},
+                {"2;\001\r\nok\r\n0\r\n\r\n"},
+                {"1\r\nok\r\n0\r\n\r\n"},
+                {"2\r\nokay\r\n0\r\n\r\n"},
+                {"2\r\nok0\r\n\r\n"},
+                {"2\r\nok\n0\r\n\r\n"},
+                {"2\nok\r\n0\r\n\r\n"},
+                {"3\r\nok\r\n0\r\n\r\n"},
+                {"ffffffffffffffff\r\nok\r\n0\r\n\r\n"},
+                {"2\r\nok\r\n"},
+                {"2\r\nok\r\n0\r\n"},
+                {"2\r\nok\r\n0\r\nX-Trailer: 1\r\n"},
+                {"2\r\nok\r\n0\r\nX Trailer: 1\r\n\r\n"},
+                {"2\r\nok\r\n0\r\nX-Trailer : 1\r\n\r\n"},
+                {"2\r\nok\r\n0\r\nX-Trailer\001: 1\r\n\r\n"},
+                {"2\r\nok\r\n0\r\nX-Trailer: \000\r\n\r\n"},
+                {"2\r\nok\r\n0\r\nX-Trailer: 1\r\n folded\r\n\r\n"},
+                {"2\r\nok\r\n0\r\nno colon\r\n\r\n"},
+            };
+        }
+
+        @Test(dataProvider = "invalidChunks")
+        public void ofInvalidChunksOrTrailersIsAFailure(String body) throws Exception {
+            assertEquals(get("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body), ClientCalls.FAILED);
+        }
+
+        @DataProvider
+        public static Object[][] valid() {
+            return new Object[][] {
+                {"Content-Length: 2\r\n\r\nok"},
+                {"content-length:2 \r\n\r\nok"},
+                {"Content-Length: 002\r\n\r\nok"},
+                {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+                {"transfer-encoding: Chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n"},
+                {"Transfer-Encoding: chunked\r\n\r\n0002;name=\"value\";other\r\nok\r\n000\r\n\r\n"},
+                {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0;last\r\nX-Trailer: 1\r\nX-Empty:\r\n\r\n"},
+                {"\r\nok"},
+            };
+        }
+
+        @Test(dataProvider = "valid")
+        public void thatIsValidIsAccepted(String rest) throws Exception {
+            assertEquals(get("HTTP/1.1 200 OK\r\nX-Id: mine\r\n" + rest), "200 ok");
+        }
+
+        /** However the bytes are divided, the same responses are accepted. */
+        @Test
+        public void isTheSameIfSingleBytesArrive() throws Exception {
+            String chunks =
+                    "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\n"
+                            + "notHTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\nA;x\r\n0123456789\r\n"
+                            + "1\r\n!\r\n0\r\nX-Trailer: 1\r\n\r\n";
+            try (ScriptedServer server = new ScriptedServer(connection -> {
+                ScriptedServer.readHead(connection);
+                connection.setTcpNoDelay(true);
+                for (char single : chunks.toCharArray()) {
+                    ScriptedServer.send(connection, String.valueOf(single));
+                }
+            })) {
+                assertEquals(new ClientCalls(GROUP).get(server.port()), "200 0123456789!");
+            }
+        }
+
+        @DataProvider
+        public static Object[][] withoutBodies() {
+            return new Object[][] {
+                {"HEAD", "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 10\r\n\r\n", "200 "},
+                {"HEAD", "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n", "200 "},
+                {"GET", "HTTP/1.1 204 No Content\r\nX-Id: mine\r\n\r\n", "204 "},
+                {"GET", "HTTP/1.1 304 Not Modified\r\nX-Id: mine\r\nContent-Length: 10\r\n\r\n", "304 "},
+            };
+        }
+
+        /** Connections stay open after these responses, so that only their heads can have ended them. */
+        @Test(dataProvider = "withoutBodies")
+        public void isIgnoredInResponsesWithoutBodies(String method, String response, String expected)
+                throws Exception {
+            assertEquals(sendOnOpenConnection(method, response), expected);
+        }
+    }
 }
