Test that a response cut within its head or body is a failure

Another operator saw a 200 with an empty or short body, framed as whole, after an engine had stopped in the middle of its answer's head and closed. Here this can't happen: the test cuts a response with a length, one with chunks and one after an informational response at every byte, and one without a length at every byte of its head. The test is kept; nothing else is changed for the report.

--- a/src/test/java/org/radishspan/http/BrokenResponseTest.java
+++ b/src/test/java/org/radishspan/http/BrokenResponseTest.java
@@ -1,5 +1,6 @@
 package org.radishspan.http;
 
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -477,4 +478,33 @@
             assertEquals(sendOnOpenConnection(method, response), expected);
         }
     }
+
+    /** Responses of servers that stop in the middle of them and close the connection regularly. */
+    public static class CutResponses {
+        /** Guards against responses with an empty or short body: a server stopped within the head of its response. */
+        @Test
+        public void areFailuresWhereverTheyAreCut() throws Exception {
+            String length = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\nX-Last: 1\r\n\r\nok";
+            String chunks =
+                    "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: 1\r\n\r\n";
+            String informational = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+            for (String response : List.of(length, chunks, informational + length)) {
+                for (int bytes = 0; bytes < response.length(); bytes++) {
+                    String part = response.substring(0, bytes);
+                    assertEquals(get(part), ClientCalls.FAILED, part);
+                }
+                assertEquals(get(response), "200 ok");
+            }
+        }
+
+        @Test
+        public void withoutALengthAreFailuresIfTheirHeadIsIncomplete() throws Exception {
+            String head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Type: text/event-stream\r\n\r\n";
+            for (int bytes = 0; bytes < head.length(); bytes++) {
+                String part = head.substring(0, bytes);
+                assertEquals(get(part), ClientCalls.FAILED, part);
+            }
+            assertEquals(get(head), "200 ");
+        }
+    }
 }
