Limit streams of lines that are no events, and send the events of one turn together

Cause: a block without an id counted as progress as long as no id had come, so that the limit on bytes without progress never ended the stream. Each block of three bytes became an entry of the caller's outbound buffer, some hundred bytes each, and all blocks of a read of 64 KB were passed on before a pause took effect.

Change: only an event with an id lifts the limit of 1 MB; blocks without ids still count as activity, so that such a stream is not left as silent. The parts that a call writes in one turn of the event loop are sent as one chunk, and a call with 64 KB of them is not writable until they are sent.

--- a/src/main/java/org/radishspan/http/HttpCall.java
+++ b/src/main/java/org/radishspan/http/HttpCall.java
@@ -1,5 +1,6 @@
 package org.radishspan.http;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -32,6 +33,9 @@
  * }</pre>
  */
 public final class HttpCall {
+    /** The size of the parts of one turn of the event loop above which the call is not writable. */
+    private static final int MAX_UNSENT_BYTES = 65_536;
+
     private final ChannelHandlerContext context;
     private final String method;
     private final String rawUri;
@@ -41,8 +45,10 @@
     private final Runnable onFinished;
     private @Nullable Runnable onClosed;
     private @Nullable Runnable onWritable;
+    private final ByteArrayOutputStream unsent = new ByteArrayOutputStream();
     private boolean streaming;
     private boolean flushScheduled;
+    private boolean waitingForFlush;
     private boolean closeAfterwards;
     private boolean done;
 
@@ -122,6 +128,10 @@
 
     /** Returns whether the outbound buffer of the connection is below its high-water mark. */
     public boolean writable() {
+        if (unsent.size() >= MAX_UNSENT_BYTES) {
+            waitingForFlush = true;
+            return false;
+        }
         return context.channel().isWritable();
     }
 
@@ -195,14 +205,24 @@
         scheduleFlush();
     }
 
-    /** Writes a part of a chunked response. Does nothing if the response has ended. */
+    /**
+     * Writes a part of a chunked response. Does nothing if the response has ended. The parts of one turn of the event loop
+     * are sent as one chunk, as many small chunks occupy a multiple of their bytes.
+     */
     public void write(byte[] bytes) {
         if (!done) {
-            context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            unsent.writeBytes(bytes);
             scheduleFlush();
         }
     }
 
+    private void writeUnsent() {
+        if (unsent.size() > 0) {
+            context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(unsent.toByteArray())));
+            unsent.reset();
+        }
+    }
+
     /** Schedules one flush for all writes in this iteration of the event loop. */
     private void scheduleFlush() {
         if (flushScheduled) {
@@ -211,7 +231,11 @@
         flushScheduled = true;
         context.executor().execute(() -> {
             flushScheduled = false;
+            writeUnsent();
             context.flush();
+            if (waitingForFlush && context.channel().isWritable()) {
+                onWritableAgain();
+            }
         });
     }
 
@@ -220,6 +244,7 @@
         if (done) {
             return;
         }
+        writeUnsent();
         finish(context.writeAndFlush(new DefaultLastHttpContent()));
     }
 
@@ -250,6 +275,7 @@
     }
 
     void onWritableAgain() {
+        waitingForFlush = false;
         if (!done && onWritable != null) {
             onWritable.run();
         }
--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -57,8 +57,11 @@
     /** The maximum size of a buffered answer; the longest bodies of the users have 4 MB. */
     private static final int MAX_BUFFERED_ANSWER_BYTES = 8_388_608;
 
-    /** The maximum bytes of a stream without progress; far above the size of the longest event that targets send. */
-    private static final int MAX_BYTES_WITHOUT_PROGRESS = 1_048_576;
+    /**
+     * The maximum bytes of a stream without a further event that has an id; far above the size of the longest event that
+     * targets send. Events without ids do not lift the limit, because a target in trouble can send any number of them.
+     */
+    private static final int MAX_BYTES_WITHOUT_ID = 1_048_576;
 
     /**
      * A buffered answer makes progress each time this many bytes have arrived. The answers of the users' services have a few
@@ -212,17 +215,22 @@
                 return;
             }
             receivedEvents++;
-            if (resultHandler.onEvent(this, event)) {
+            if (!resultHandler.onEvent(this, event)) {
+                continue;
+            }
+            progressAtMillis = clockMillis.getAsLong();
+            if (event.id() != EventStreamParser.NO_ID) {
                 bytesSinceProgress = 0;
-                progressAtMillis = clockMillis.getAsLong();
             }
         }
         if (eventParser.tooLong()) {
             fail(FailureReason.BROKEN, "an event of the stream exceeds the maximum length");
             return;
         }
-        if (bytesSinceProgress > MAX_BYTES_WITHOUT_PROGRESS) {
-            fail(FailureReason.BROKEN, bytesSinceProgress + " bytes of the stream contained no further event");
+        if (bytesSinceProgress > MAX_BYTES_WITHOUT_ID) {
+            fail(
+                    FailureReason.BROKEN,
+                    bytesSinceProgress + " bytes of the stream contained no further event with an id");
         }
     }
 
--- a/src/test/java/org/radishspan/http/HttpServerTest.java
+++ b/src/test/java/org/radishspan/http/HttpServerTest.java
@@ -6,7 +6,9 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -63,8 +65,13 @@
     }
 
     private static String readResponse(InputStream in) throws IOException {
+        return readUntil(in, "\r\n\r\nok");
+    }
+
+    private static String readUntil(InputStream in, String end) throws IOException {
         StringBuilder response = new StringBuilder();
-        while (!response.toString().endsWith("\r\n\r\nok")) {
+        while (response.length() < end.length()
+                || !response.substring(response.length() - end.length()).equals(end)) {
             int next = in.read();
             if (next < 0) {
                 break;
@@ -120,6 +127,39 @@
         }
     }
 
+    /** A router ran out of memory while it relayed many tiny events that had arrived at once. */
+    @Test
+    public void partsOfOneTurnAreSentTogetherAndLimited() throws Exception {
+        int parts = 30_000;
+        CompletableFuture<Integer> writtenBeforeLimit = new CompletableFuture<>();
+        CompletableFuture<Void> writableAgain = new CompletableFuture<>();
+        HttpServer server = HttpServer.start(group, "127.0.0.1", 0, 1_000, call -> {
+            call.onWritable(() -> {
+                writableAgain.complete(null);
+                call.end();
+            });
+            call.startStream(200, "text/plain", Map.of());
+            int written = 0;
+            while (call.writable() && written < parts) {
+                call.write(new byte[] {'x', '\n', '\n'});
+                written++;
+            }
+            writtenBeforeLimit.complete(written);
+        });
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            socket.setSoTimeout(TIMEOUT_MILLIS);
+            socket.getOutputStream().write(REQUEST.getBytes(ISO_8859_1));
+            int written = writtenBeforeLimit.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            assertTrue(written < parts, "the call is not writable until its parts are sent");
+            writableAgain.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            String response = readUntil(socket.getInputStream(), "\r\n0\r\n\r\n");
+            String body = response.substring(response.indexOf("\r\n\r\n") + 4);
+            assertEquals(body.chars().filter(character -> character == 'x').count(), written);
+            assertTrue(body.length() < written * 3 + 100, "there are few chunks: " + body.length() + " bytes");
+        }
+        server.stop();
+    }
+
     /** Guards against a failure seen by other operators: a planned stop under load cut off requests that were just accepted. */
     @Test
     public void aPlannedStopUnderLoadAnswersEveryRequestThatWasRead() throws Exception {
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -663,6 +663,27 @@
             assertTrue(caller.aborted, "the caller can see that the stream is incomplete");
         }
 
+        @DataProvider
+        public Object[][] streamsWithoutIds() {
+            return new Object[][] {{"x\n\n"}, {"data: x\n\n"}, {": \n\n"}, {"id: x\n\n"}, {"\n"}, {"x"}};
+        }
+
+        /** A router stopped for good after two targets had answered with lines without end: its memory was full. */
+        @Test(dataProvider = "streamsWithoutIds")
+        public void ofStreamsWithoutAnyEventAreAborted(String repeated) {
+            RelayHarness harness = new RelayHarness(1);
+            RelayHarness.Caller caller = harness.call("once");
+            RelayHarness.SentRequest sent = harness.lastSent();
+            sent.head(200, "Content-Type", STREAM, STAMP, "stamp");
+            String bytes = repeated.repeat(10_000);
+            for (int total = 0; total < MAX_BYTES && !sent.cancelled; total += bytes.length()) {
+                sent.bytes(bytes);
+            }
+            assertTrue(sent.cancelled, "the connection is closed");
+            assertFalse(caller.ended);
+            assertFalse(caller.open(), "the caller can see that the stream is incomplete");
+        }
+
         @Test
         public void onManyConnectionsLeaveMemoryForOtherAnswers() {
             RelayHarness harness = new RelayHarness(1);
