Refuse what a planned stop would cut off, and answer what it has passed on

Cause: whether a request was accepted or sent depended on its deadline only, not on the end of the process; and the end closed the connections of requests in progress.

Change: a stop announces its end to the relay. A request that no target may have run is refused as not run, with a short Retry-After, if less than twice the mean time of such answers is left, when it arrives, when it would be sent, and while it waits. What is in progress at the end gets an answer: 503 if nothing was sent, otherwise 504, which promises nothing; streams that have begun are aborted as before. The mean times are measured with and without admission control.

The own interface refuses everything new from the start of a stop; it was not changed.

--- a/src/main/java/org/radishspan/front/FrontProcess.java
+++ b/src/main/java/org/radishspan/front/FrontProcess.java
@@ -300,9 +300,15 @@
                 .with("connections", callerServer.connections())
                 .write();
         callerServer.closeAfterAnswers();
+        router.relay().endBy(endsAtMillis());
         router.drain();
     }
 
+    /** Returns when a stop ends at the latest, with or without requests in progress. */
+    private long endsAtMillis() {
+        return drainStartedMillis + settings.bounds().stopGraceMillis() - STOP_RESERVE_MILLIS;
+    }
+
     /** Schedules a tick as soon as the minimum gap allows. Events before that tick share it. */
     private void tickSoon() {
         tickWithin(Math.max(0, lastTickAtMillis + TICK_GAP_MILLIS - nowMillis()));
@@ -380,7 +386,7 @@
             callerServer.closeIdle();
         }
         boolean done = callerServer.connections() == 0 && router.stopped();
-        boolean graceEnding = elapsedMillis >= settings.bounds().stopGraceMillis() - STOP_RESERVE_MILLIS;
+        boolean graceEnding = nowMillis() >= endsAtMillis();
         if ((elapsedMillis >= READINESS_REACTION_MILLIS && done) || graceEnding) {
             end();
         }
@@ -392,8 +398,10 @@
         }
         router.relay().refuseWaiting();
         boolean clean = router.stopped();
+        int inProgress = router.relay().inProgress();
+        router.relay().endAll();
         log.process("stop")
-                .with("in_progress", router.relay().inProgress())
+                .with("in_progress", inProgress)
                 .with("shares_left", router.shares().table().rows().size())
                 .write();
         log.close();
--- a/src/main/java/org/radishspan/relay/Admission.java
+++ b/src/main/java/org/radishspan/relay/Admission.java
@@ -12,9 +12,6 @@
 
 /** Decides from the configuration in force whether a request is accepted, and which service serves it. */
 final class Admission {
-    /** The retry delay while this router is stopping or has no configuration, as other routers can serve the retry. */
-    private static final long OTHER_ROUTER_RETRY_MILLIS = 50;
-
     private final CrashDetector crashDetector;
     private final UniformRandomProvider random;
     private final RelayMetrics metrics;
@@ -43,7 +40,7 @@
         if (draining || currentConfiguration.isEmpty()) {
             ErrorKind kind = draining ? ErrorKind.DRAINING : ErrorKind.PLATFORM_UNAVAILABLE;
             String message = draining ? "this router is stopping" : "this router has not loaded a configuration yet";
-            return Either.left(Failure.notRun(kind, message).retryAfter(OTHER_ROUTER_RETRY_MILLIS));
+            return Either.left(Failure.notRun(kind, message).retryAfter(RelaySystem.OTHER_ROUTER_RETRY_MILLIS));
         }
         DeploymentConfiguration configuration = currentConfiguration.get();
         Optional<Route> route = configuration.route(request.host(), request.path());
--- a/src/main/java/org/radishspan/relay/AdmissionQueue.java
+++ b/src/main/java/org/radishspan/relay/AdmissionQueue.java
@@ -54,16 +54,22 @@
     private final WaitingTokens waitingTokens;
     private final Relay relay;
     private final RequestQueue<RelayRequest> queue = new RequestQueue<>(RequestQueue.Bounds.DEFAULT);
-    private final ServiceTimes serviceTimes = new ServiceTimes();
+    private final ServiceTimes serviceTimes;
     private final Map<RelayRequest, QueuedRequest<RelayRequest>> entries = new IdentityHashMap<>();
     private long tickedAtMillis;
     private long checkedAtMillis;
     private boolean stalled;
     private boolean draining;
 
-    AdmissionQueue(RelaySystem.Ports ports, TargetPicker targetPicker, TokenMeter tokenMeter, Relay relay) {
+    AdmissionQueue(
+            RelaySystem.Ports ports,
+            TargetPicker targetPicker,
+            TokenMeter tokenMeter,
+            ServiceTimes serviceTimes,
+            Relay relay) {
         this.ports = ports;
         this.targetPicker = targetPicker;
+        this.serviceTimes = serviceTimes;
         this.waitingTokens = new WaitingTokens(tokenMeter, ports.liveRouters());
         this.relay = relay;
         this.tickedAtMillis = ports.clockMillis().getAsLong();
@@ -216,16 +222,6 @@
         }
     }
 
-    /** Records how long a target took until its answer started. */
-    void onAnswerStarted(RelayRequest request, long elapsedMillis) {
-        serviceTimes.onAnswerStarted(request.route, elapsedMillis);
-    }
-
-    /** Records how long a target took for a complete answer. */
-    void onAnswered(RelayRequest request, long elapsedMillis) {
-        serviceTimes.onAnswered(request.route, elapsedMillis);
-    }
-
     /** Sends the waiting requests that find room, and refuses those that can no longer meet their deadlines. */
     void tick() {
         long nowMillis = now();
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -93,6 +93,15 @@
     /** The deadline of a request whose caller sets none; the time-out of the route applies if it is shorter. */
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
 
+    /** The retry delay of requests that other routers can serve, because this one ends. */
+    static final long OTHER_ROUTER_RETRY_MILLIS = 50;
+
+    /**
+     * Until the process ends, a request is sent only if this multiple of the mean time of such answers is left. Without the
+     * margin, half of the last requests would be cut off.
+     */
+    private static final int STOP_MARGIN_FACTOR = 2;
+
     /** Requests with less time than this until their deadline are not sent to a target. */
     static final long MIN_REMAINING_MILLIS = 10;
 
@@ -127,11 +136,13 @@
     private final TokenMeter tokenMeter;
     private final Set<RelayRequest> requests = new LinkedHashSet<>();
     private final Attempt.ResultHandler resultHandler = new AttemptResultHandler();
+    private final ServiceTimes serviceTimes = new ServiceTimes();
     private final AnswerBufferLimit answerBufferLimit = new AnswerBufferLimit();
     private final SignalReader signalReader;
     private final Optional<AdmissionQueue> admissionQueue;
     private long checkedAtMillis;
     private int checkedCrashes;
+    private long endsAtMillis = Long.MAX_VALUE;
 
     /** Creates the relay of a router in a failure domain; repeated sends are limited by {@code retryBound}. */
     public RelaySystem(Ports ports, String failureDomain, RetryBudget.Bound retryBound) {
@@ -159,7 +170,8 @@
         this.tokenMeter = new TokenMeter(ports.tokens(), ports.log());
         this.signalReader = new SignalReader(ports, target -> reassignUnsent(target));
         this.admissionQueue = admissionControl
-                ? Optional.of(new AdmissionQueue(ports, targetPicker, tokenMeter, new QueuedRequestHandler()))
+                ? Optional.of(
+                        new AdmissionQueue(ports, targetPicker, tokenMeter, serviceTimes, new QueuedRequestHandler()))
                 : Optional.empty();
     }
 
@@ -188,6 +200,47 @@
         admissionQueue.ifPresent(AdmissionQueue::refuseAll);
     }
 
+    /**
+     * Announces when the process ends. Requests that are not expected to be answered by then are refused instead of being
+     * sent to targets, as another router can serve them whole.
+     */
+    public void endBy(long atMillis) {
+        endsAtMillis = atMillis;
+    }
+
+    /**
+     * Answers all requests in progress because the process ends: as not run if they were not sent, otherwise as failed. Streams that have
+     * begun are aborted.
+     */
+    public void endAll() {
+        for (RelayRequest request : List.copyOf(requests)) {
+            endAttempt(request);
+            fail(
+                    request,
+                    request.targetsThatMayHaveRun == 0
+                            ? stopping()
+                            : Failure.unknown(
+                                    ErrorKind.DEADLINE_EXCEEDED, "this router stops before the answer is complete"));
+        }
+    }
+
+    private static Failure stopping() {
+        return Failure.notRun(ErrorKind.DRAINING, "this router is stopping").retryAfter(OTHER_ROUTER_RETRY_MILLIS);
+    }
+
+    /** Refuses a request that no target has received if its answer is expected after the end of the process. */
+    private boolean refuseIfTooLate(RelayRequest request) {
+        if (endsAtMillis == Long.MAX_VALUE || request.targetsThatMayHaveRun > 0) {
+            return false;
+        }
+        long answerMillis = serviceTimes.answerMillis(request.route);
+        if (now() + STOP_MARGIN_FACTOR * answerMillis <= endsAtMillis) {
+            return false;
+        }
+        fail(request, stopping());
+        return true;
+    }
+
     /** Records by how much every pass of the event loop is late at present. */
     public void onLoopDelay(long delayMillis) {
         if (admissionQueue.isPresent()) {
@@ -291,7 +344,7 @@
             expire(request);
             return true;
         }
-        return failIfQuarantined(request);
+        return refuseIfTooLate(request) || failIfQuarantined(request);
     }
 
     /** Fails a request that is refused because such requests crash targets; returns whether it is. */
@@ -503,6 +556,9 @@
                 continue;
             }
             Attempt attempt = request.attempt;
+            if (attempt == null && refuseIfTooLate(request)) {
+                continue;
+            }
             if (attempt != null && isSilent(attempt, nowMillis) && isAnotherTargetPossible(attempt, nowMillis)) {
                 attempt.fail(
                         Attempt.FailureReason.SILENT,
@@ -663,13 +719,13 @@
         }
 
         private void recordAnswerStart(Attempt attempt) {
-            admissionQueue.ifPresent(queue -> queue.onAnswerStarted(attempt.request, now() - attempt.sentAtMillis));
+            serviceTimes.onAnswerStarted(attempt.request.route, now() - attempt.sentAtMillis);
         }
 
         private void recordAnswerTime(Attempt attempt) {
             long elapsedMillis = now() - attempt.sentAtMillis;
             ports.targets().onAnswer(attempt.target, elapsedMillis, now());
-            admissionQueue.ifPresent(queue -> queue.onAnswered(attempt.request, elapsedMillis));
+            serviceTimes.onAnswered(attempt.request.route, elapsedMillis);
         }
 
         @Override
--- a/src/test/java/org/radishspan/relay/AdmissionQueueTest.java
+++ b/src/test/java/org/radishspan/relay/AdmissionQueueTest.java
@@ -309,6 +309,56 @@
             assertEquals(caller.failure().ran(), Failure.Ran.NO);
             assertEquals(harness.relay.inProgress(), SLOTS);
         }
+
+        /** Guards against requests that were taken late in the grace time, sent, and cut off without an answer at its end. */
+        @Test
+        public void sendsNothingThatCannotBeAnsweredBeforeItsEnd() {
+            for (String route : List.of("read", "write", "stream")) {
+                RelayHarness harness = new RelayHarness(1, true);
+                harness.advance(10);
+                harness.relay.endBy(harness.nowMillis() + 1_000);
+                RelayHarness.Caller early = harness.call(route);
+                harness.advance(900);
+                RelayHarness.Caller late = harness.call(route);
+                assertTrue(early.open());
+                assertEquals(late.failure().kind(), ErrorKind.DRAINING, route);
+                assertEquals(late.failure().ran(), Failure.Ran.NO);
+                assertTrue(late.failure().retryAfterMillis() > 0, "another router can serve it");
+                assertEquals(harness.sent.size(), 1);
+            }
+        }
+
+        @Test
+        public void refusesWhatWaitsAsSoonAsItIsTooLate() {
+            RelayHarness harness = full();
+            RelayHarness.Caller caller = harness.call("write");
+            harness.relay.endBy(harness.nowMillis() + 600);
+            harness.advance(100);
+            assertTrue(caller.open());
+            harness.advance(200);
+            assertEquals(caller.failure().kind(), ErrorKind.DRAINING);
+            assertEquals(caller.failure().ran(), Failure.Ran.NO);
+            assertEquals(harness.sent.size(), SLOTS);
+        }
+
+        @Test
+        public void answersWhatIsStillInProgressAtItsEnd() {
+            RelayHarness harness = new RelayHarness(1, true);
+            harness.advance(10);
+            RelayHarness.Caller sent = harness.call("write");
+            RelayHarness.Caller unsent = harness.call("read");
+            harness.lastSent().connecting = true;
+            RelayHarness.Caller stream = harness.call("once");
+            harness.lastSent().head(200, "Content-Type", "text/event-stream", "X-Server-Stamp", "stamp");
+            harness.lastSent().events(1, 2);
+            harness.relay.endAll();
+            assertEquals(sent.failure().ran(), Failure.Ran.UNKNOWN);
+            assertTrue(sent.failure().kind().httpStatus() != 503, "503 would promise that it did not run");
+            assertEquals(unsent.failure().ran(), Failure.Ran.NO);
+            assertEquals(unsent.failure().kind(), ErrorKind.DRAINING);
+            assertTrue(stream.aborted, "the caller can see that the stream is incomplete");
+            assertEquals(harness.relay.inProgress(), 0);
+        }
     }
 
     /** A router whose event loop is late. */
