Write the last lines of the log before the process ends

What operators saw: the lines of a router's last 50 ms were missing, the event "stop" among them, if other lines had been written just before; in a stop that answers requests at its end that is always so.

Cause: closing the log only marked it as closed, while its writer thread was waiting to write lines together; the process ended meanwhile.

Evidence: the logs of six runs of PlannedStopTest had no event "stop" and no "request_failed" of the request that was answered at the end. EventLogTest.closingWritesTheQueuedLines failed before; closingDoesNotWaitForABlockedStream passes before and after.

Change: closing wakes the writer thread up and waits for it, for at most 200 ms of the 500 ms that a stop reserves.

After: EventLogTest and PlannedStopTest, 6 tests, 0 failures; the log of the latter ends with the event "stop".

--- a/src/main/java/org/radishspan/log/EventLog.java
+++ b/src/main/java/org/radishspan/log/EventLog.java
@@ -66,8 +66,15 @@
         private int lines;
     }
 
+    /** How long a close waits for the writer thread, whose stream may be blocked. */
+    private static final long CLOSE_TIMEOUT_MILLIS = 200;
+
+    /** Wakes up the writer thread when the log is closed. */
+    private static final byte[] NO_LINE = new byte[0];
+
     private final LongSupplier clockMillis;
     private final @Nullable BlockingQueue<byte[]> queue;
+    private @Nullable Thread writer;
     private final Map<String, Rate> rates = new HashMap<>();
     private long droppedLines;
     private long reportedDroppedLines;
@@ -90,6 +97,7 @@
         EventLog log = new EventLog(clockMillis, queue);
         Thread writer = new Thread(() -> log.writeQueuedLines(queue, out), "log-writer");
         writer.setDaemon(true);
+        log.writer = writer;
         writer.start();
         return log;
     }
@@ -127,9 +135,21 @@
         out.flush();
     }
 
-    /** Stops the writer thread after it has written the queued lines. */
+    /** Stops the writer thread after it has written the queued lines, and waits for that for a short time. */
     public void close() {
         closed = true;
+        BlockingQueue<byte[]> lines = queue;
+        Thread running = writer;
+        if (lines == null || running == null) {
+            return;
+        }
+        // If the queue is full, the writer thread is awake.
+        lines.offer(NO_LINE);
+        try {
+            running.join(CLOSE_TIMEOUT_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Returns the number of lines dropped since the start. */
--- a/src/test/java/org/radishspan/log/EventLogTest.java
+++ b/src/test/java/org/radishspan/log/EventLogTest.java
@@ -68,6 +68,31 @@
         assertTrue(line.toString().getBytes(UTF_8).length > 0);
     }
 
+    /** The last lines of a process were lost if lines before them had just been written. */
+    @Test(timeOut = 60_000)
+    public void closingWritesTheQueuedLines() throws InterruptedException {
+        for (int i = 0; i < 20; i++) {
+            BlockedStream stream = new BlockedStream();
+            stream.released.countDown();
+            EventLog log = EventLog.start(stream, () -> 17);
+            log.trouble("request_failed", "r").write();
+            TimeUnit.MILLISECONDS.sleep(i);
+            log.process("stop").write();
+            log.close();
+            assertTrue(stream.written.toString(UTF_8).contains("\"stop\""), "after " + i + " ms");
+        }
+    }
+
+    @Test(timeOut = 60_000)
+    public void closingDoesNotWaitForABlockedStream() {
+        BlockedStream stream = new BlockedStream();
+        EventLog log = EventLog.start(stream, () -> 17);
+        log.process("stop").write();
+        log.close();
+        assertEquals(stream.written.size(), 0);
+        stream.released.countDown();
+    }
+
     @Test
     public void routineLinesDoNotDisplaceLinesAboutFailures() {
         BlockedStream stream = new BlockedStream();
