Limit the events of one stream on the own interface

What callers would see: a model engine in trouble that sends data lines without end, or numbered events without end, fills the memory of the router that called it, and all requests there end.

Evidence: of ChatResponseTest.Endless two of two tests failed before: 64 MB were taken in either way.

Change: the data of an incomplete event counts towards the limit of 1 MB, and a stream with more than 8 MB of events is malformed, so that its connection is closed. Many such streams at once are not limited together, other than on the users' platform.

After: ChatResponseTest and FuzzTest, 0 failures.

--- a/src/main/java/org/radishspan/request/ChatResponse.java
+++ b/src/main/java/org/radishspan/request/ChatResponse.java
@@ -21,12 +21,16 @@
 final class ChatResponse implements TargetResponse {
     private static final int OK = 200;
 
+    /** The maximum size of all events of a stream, far above that of the longest completions. */
+    private static final int MAX_STREAM_CHARACTERS = 8_388_608;
+
     private final String requestId;
     private final String model;
     private final Consumer<byte[]> relay;
     private final StringBuilder content = new StringBuilder();
     private ServerSentEvents events = new ServerSentEvents();
     private int nextIndex;
+    private int eventCharacters;
     private @Nullable JsonNode usage;
     private String lastEvent = "";
     private String finishReason = "stop";
@@ -96,6 +100,10 @@
         if (index > nextIndex || usage != null) {
             return Verdict.MALFORMED;
         }
+        eventCharacters += data.length();
+        if (eventCharacters > MAX_STREAM_CHARACTERS) {
+            return Verdict.MALFORMED;
+        }
         nextIndex++;
         applyEvent(event, data);
         return Verdict.ACCEPTED;
--- a/src/main/java/org/radishspan/request/ServerSentEvents.java
+++ b/src/main/java/org/radishspan/request/ServerSentEvents.java
@@ -23,7 +23,7 @@
     /**
      * Appends received bytes and returns the data of all events that they complete.
      *
-     * @throws IllegalStateException if an incomplete line exceeds {@value #MAX_EVENT_BYTES} bytes
+     * @throws IllegalStateException if an incomplete line or an incomplete event exceeds {@value #MAX_EVENT_BYTES} bytes
      */
     List<String> feed(byte[] bytes) {
         List<String> events = new ArrayList<>();
@@ -35,7 +35,7 @@
             decodeLine(line.toString(UTF_8).stripTrailing(), events);
             line.reset();
         }
-        if (line.size() > MAX_EVENT_BYTES) {
+        if (line.size() > MAX_EVENT_BYTES || data.length() > MAX_EVENT_BYTES) {
             throw new IllegalStateException("server-sent event exceeds " + MAX_EVENT_BYTES + " bytes");
         }
         return events;
--- a/src/test/java/org/radishspan/request/ChatResponseTest.java
+++ b/src/test/java/org/radishspan/request/ChatResponseTest.java
@@ -1,6 +1,7 @@
 package org.radishspan.request;
 
 import java.io.ByteArrayOutputStream;
+import java.util.function.IntFunction;
 
 import org.testng.annotations.Test;
 
@@ -46,6 +47,43 @@
         }
     }
 
+    /** Streams of targets in trouble, which send until the connection is closed. */
+    public static class Endless {
+        private static final int MAX_BYTES = 67_108_864;
+
+        /** Sends bytes until the response is rejected or the limit is reached; returns how many were sent. */
+        private static long feedUntilRejected(Stream stream, IntFunction<byte[]> parts) {
+            long bytes = 0;
+            for (int i = 0; bytes < MAX_BYTES; i++) {
+                byte[] part = parts.apply(i);
+                bytes += part.length;
+                try {
+                    if (stream.feed(part) == TargetResponse.Verdict.MALFORMED) {
+                        return bytes;
+                    }
+                } catch (IllegalStateException e) {
+                    // The call fails.
+                    return bytes;
+                }
+            }
+            return bytes;
+        }
+
+        @Test
+        public void areRejectedIfAnEventDoesNotEnd() {
+            byte[] lines = "data: abcdefgh\n".repeat(1_000).getBytes(UTF_8);
+            assertTrue(feedUntilRejected(new Stream(), i -> lines) < MAX_BYTES);
+            byte[] part = "x".repeat(10_000).getBytes(UTF_8);
+            assertTrue(feedUntilRejected(new Stream(), i -> part) < MAX_BYTES, "a line that does not end");
+        }
+
+        @Test
+        public void areRejectedIfTheEventsDoNotEnd() {
+            String word = "w".repeat(1_000);
+            assertTrue(feedUntilRejected(new Stream(), i -> wordEvent(ID, i, word)) < MAX_BYTES);
+        }
+    }
+
     /** Complete streams. */
     public static class Complete {
         @Test
