Limit the memory for the bodies of all requests of a router together

The heap was full, the process went on.

Cause: each body had a limit, all of them together had none; a kept connection kept the buffer of its longest body, and each body was copied once more.

Evidence: HttpServerTest.manyLargeBodiesAtOnceLeaveMemoryForOtherRequests failed before in both forms, with a length and in chunks: 30 of 30 bodies of 1 MB were held.

Change: the bodies of a server share a limit of 16 MB, reserved when the head announces a length, until the call has ended. A larger request beyond it is read to its end and refused with 503 and Retry-After, as it has not run; bodies of up to 64 KB are always taken, so that other requests are served meanwhile. A body of known length is not copied. The limit class of the answers serves both.

--- a/src/main/java/org/radishspan/http/HttpServer.java
+++ b/src/main/java/org/radishspan/http/HttpServer.java
@@ -1,6 +1,5 @@
 package org.radishspan.http;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -77,6 +76,12 @@
         }
     }
 
+    /** A sixth of the heap of 96 MB that routers run with. */
+    private static final long MAX_BODY_BYTES_TOGETHER = 16_777_216;
+
+    /** The retry delay of requests whose bodies find no memory, which is released within the time of an answer. */
+    private static final long BODY_MEMORY_RETRY_MILLIS = 1_000;
+
     private static final int MAX_PIPELINED_CALLS = 16;
     private static final int MAX_INITIAL_LINE_BYTES = 4_096;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -88,6 +93,7 @@
 
     private final Channel channel;
     private final Set<Connection> connections = new HashSet<>();
+    private final BufferLimit bodyLimit = new BufferLimit(MAX_BODY_BYTES_TOGETHER);
     private boolean closeAfterResponses;
 
     private HttpServer(EventLoopGroup group, String host, int port, Supplier<Limits> limits, Handler handler) {
@@ -193,10 +199,12 @@
         private final Limits limits;
         private final Handler handler;
         private final Deque<HttpCall> pipelinedCalls = new ArrayDeque<>();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final Set<RequestBody> heldBodies = new HashSet<>();
+        private @Nullable RequestBody body;
         private @Nullable HttpRequest request;
         private @Nullable HttpCall current;
         private boolean bodyTooLarge;
+        private boolean outOfBodyMemory;
         private @Nullable ChannelHandlerContext connectionContext;
         private long idleSinceNanos = System.nanoTime();
         private long headStartedAtNanos;
@@ -270,30 +278,42 @@
                 context.writeAndFlush(new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-            body.reset();
-            bodyTooLarge = false;
+            RequestBody received = new RequestBody(bodyLimit);
+            body = received;
+            heldBodies.add(received);
+            long lengthBytes = HttpUtil.getContentLength(head, 0L);
+            bodyTooLarge = lengthBytes > limits.maxBodyBytes();
+            outOfBodyMemory = !bodyTooLarge && !received.tryReserve((int) lengthBytes);
             if (context.pipeline().get(READ_TIMEOUT_HANDLER) == null) {
                 context.pipeline().addFirst(READ_TIMEOUT_HANDLER, new ReadTimeoutHandler(READ_TIMEOUT_SECONDS));
             }
         }
 
         private void collect(ByteBuf content) {
-            if (bodyTooLarge || body.size() + content.readableBytes() > limits.maxBodyBytes()) {
+            RequestBody received = body;
+            if (received == null || outOfBodyMemory) {
+                return;
+            }
+            if (bodyTooLarge || received.size() + content.readableBytes() > limits.maxBodyBytes()) {
                 bodyTooLarge = true;
+                received.release();
                 return;
             }
-            byte[] bytes = new byte[content.readableBytes()];
-            content.readBytes(bytes);
-            body.writeBytes(bytes);
+            outOfBodyMemory = !received.tryAppend(content);
+            if (outOfBodyMemory) {
+                received.release();
+            }
         }
 
         private void complete(ChannelHandlerContext context) {
             HttpRequest head = request;
+            RequestBody received = body;
             request = null;
+            body = null;
             if (context.pipeline().get(READ_TIMEOUT_HANDLER) != null) {
                 context.pipeline().remove(READ_TIMEOUT_HANDLER);
             }
-            if (head == null) {
+            if (head == null || received == null) {
                 return;
             }
             if (bodyTooLarge) {
@@ -303,6 +323,15 @@
                         "the body is longer than " + limits.maxBodyBytes() + " bytes");
                 return;
             }
+            if (outOfBodyMemory) {
+                refuse(
+                        context,
+                        Failure.notRun(
+                                        ErrorKind.OVERLOADED,
+                                        "the bodies of the requests in progress use all memory allowed for them")
+                                .retryAfter(BODY_MEMORY_RETRY_MILLIS));
+                return;
+            }
             if (pipelinedCalls.size() >= MAX_PIPELINED_CALLS) {
                 context.close();
                 return;
@@ -312,8 +341,8 @@
                     head.method().name(),
                     head.uri(),
                     head.headers(),
-                    body.toByteArray(),
-                    () -> callFinished(context));
+                    received.toBytes(),
+                    () -> callFinished(context, received));
             if (!HttpUtil.isKeepAlive(head)) {
                 call.closeAfterResponse();
             }
@@ -321,7 +350,9 @@
             startNext();
         }
 
-        private void callFinished(ChannelHandlerContext context) {
+        private void callFinished(ChannelHandlerContext context, RequestBody finishedBody) {
+            finishedBody.release();
+            heldBodies.remove(finishedBody);
             current = null;
             idleSinceNanos = System.nanoTime();
             context.executor().execute(this::startNext);
@@ -356,9 +387,13 @@
         }
 
         private void refuse(ChannelHandlerContext context, ErrorKind kind, String message) {
+            refuse(context, Failure.notRun(kind, message));
+        }
+
+        private void refuse(ChannelHandlerContext context, Failure failure) {
             HttpCall call = new HttpCall(context, "GET", "/", new DefaultHttpHeaders(), new byte[0], () -> {});
             call.closeAfterResponse();
-            ErrorResponse.send(call, Failure.notRun(kind, message));
+            ErrorResponse.send(call, failure);
         }
 
         @Override
@@ -370,6 +405,8 @@
             if (call != null) {
                 call.onConnectionClosed();
             }
+            heldBodies.forEach(RequestBody::release);
+            heldBodies.clear();
         }
 
         @Override
--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -4,6 +4,7 @@
 import java.util.function.LongSupplier;
 
 import org.jspecify.annotations.Nullable;
+import org.radishspan.http.BufferLimit;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.routing.PendingFirstEvent;
 import org.radishspan.routing.Placement;
@@ -74,7 +75,7 @@
     final long sentAtMillis;
     private final TargetProtocol protocol;
     private final ResultHandler resultHandler;
-    private final AnswerBufferLimit answerBufferLimit;
+    private final BufferLimit answerBufferLimit;
     private final LongSupplier clockMillis;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final EventStreamParser eventParser = new EventStreamParser();
@@ -109,7 +110,7 @@
             PendingFirstEvent pendingFirstEvent,
             TargetProtocol protocol,
             ResultHandler resultHandler,
-            AnswerBufferLimit answerBufferLimit,
+            BufferLimit answerBufferLimit,
             LongSupplier clockMillis) {
         this.request = request;
         this.target = choice.target();
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -21,6 +21,7 @@
 import org.radishspan.deployment.Workspace;
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
+import org.radishspan.http.BufferLimit;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.log.EventLog;
 import org.radishspan.request.QuarantineTable;
@@ -128,6 +129,9 @@
 
     private static final int LOWEST_URGENCY = 9;
 
+    /** A quarter of the heap of 96 MB that routers run with; collecting and joining an answer takes twice its bytes. */
+    private static final long MAX_ANSWER_BYTES = 25_165_824;
+
     private final Ports ports;
     private final RetryBudget retryBudget;
     private final TargetPicker targetPicker;
@@ -137,7 +141,7 @@
     private final Set<RelayRequest> requests = new LinkedHashSet<>();
     private final Attempt.ResultHandler resultHandler = new AttemptResultHandler();
     private final ServiceTimes serviceTimes = new ServiceTimes();
-    private final AnswerBufferLimit answerBufferLimit = new AnswerBufferLimit();
+    private final BufferLimit answerBufferLimit = new BufferLimit(MAX_ANSWER_BYTES);
     private final SignalReader signalReader;
     private final Optional<AdmissionQueue> admissionQueue;
     private long checkedAtMillis;
--- a/src/test/java/org/radishspan/http/HttpServerTest.java
+++ b/src/test/java/org/radishspan/http/HttpServerTest.java
@@ -2,13 +2,17 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -20,6 +24,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
@@ -31,6 +36,7 @@
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final int CALLERS = 30;
     private static final int WORK_MILLIS = 20;
+    private static final int LARGE_BYTES = 1_000_000;
     private static final int TIMEOUT_MILLIS = 10_000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -127,6 +133,89 @@
         }
     }
 
+    @DataProvider
+    public Object[][] framings() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    private static void sendLarge(Socket socket, boolean chunked) throws IOException {
+        String framing = chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + LARGE_BYTES;
+        OutputStream out = socket.getOutputStream();
+        out.write(("POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n").getBytes(ISO_8859_1));
+        if (chunked) {
+            out.write((Integer.toHexString(LARGE_BYTES) + "\r\n").getBytes(ISO_8859_1));
+        }
+        out.write(new byte[LARGE_BYTES]);
+        if (chunked) {
+            out.write("\r\n0\r\n\r\n".getBytes(ISO_8859_1));
+        }
+        out.flush();
+    }
+
+    /** Returns the status of a large request, which stays unanswered while it is held by the handler. */
+    private static String callLarge(int port, boolean chunked) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(TIMEOUT_MILLIS);
+            sendLarge(socket, chunked);
+            String head = readUntil(socket.getInputStream(), "\r\n\r\n");
+            boolean retry = head.toLowerCase(Locale.ROOT).contains("retry-after: ");
+            return head.split(" ", 3)[1] + (retry ? " later" : "");
+        }
+    }
+
+    /** Routers answered nobody any more after many callers had sent large bodies at once: their heap was full. */
+    @Test(dataProvider = "framings")
+    public void manyLargeBodiesAtOnceLeaveMemoryForOtherRequests(boolean chunked) throws Exception {
+        Queue<HttpCall> held = new ConcurrentLinkedQueue<>();
+        HttpServer server = HttpServer.start(group, "127.0.0.1", 0, 4_194_304, call -> {
+            if (call.body().length == 0) {
+                call.respond(200, "text/plain", "ok");
+                return;
+            }
+            held.add(call);
+        });
+        List<Future<String>> statuses = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            statuses.add(callers.submit(() -> callLarge(server.port(), chunked)));
+        }
+        while (statuses.stream().filter(Future::isDone).count() + held.size() < CALLERS) {
+            Thread.sleep(10);
+        }
+        int heldMegabytes = held.size() * LARGE_BYTES / 1_000_000;
+        assertTrue(heldMegabytes >= 5 && heldMegabytes <= 96 / 4, heldMegabytes + " MB are held, of a heap of 96 MB");
+        assertEquals(callOnce(server.port()), "ok", "a small request is served meanwhile");
+        group.next()
+                .submit(() -> held.forEach(call -> call.respond(200, "text/plain", "ok")))
+                .sync();
+        List<String> results = new ArrayList<>();
+        for (Future<String> status : statuses) {
+            results.add(status.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        }
+        assertEquals(results.stream().filter("200"::equals).count(), held.size());
+        assertEquals(results.stream().filter("503 later"::equals).count(), CALLERS - held.size());
+        held.clear();
+        for (int i = 0; i < CALLERS; i++) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+                sendLarge(socket, chunked);
+                awaitSize(held, 1);
+            }
+            held.clear();
+        }
+        Future<String> later = callers.submit(() -> callLarge(server.port(), chunked));
+        awaitSize(held, 1);
+        group.next()
+                .submit(() -> held.remove().respond(200, "text/plain", "ok"))
+                .sync();
+        assertEquals(later.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "200", "closed connections hold no memory");
+        server.stop();
+    }
+
+    private static void awaitSize(Queue<HttpCall> held, int size) throws InterruptedException {
+        while (held.size() < size) {
+            Thread.sleep(1);
+        }
+    }
+
     /** A router ran out of memory while it relayed many tiny events that had arrived at once. */
     @Test
     public void partsOfOneTurnAreSentTogetherAndLimited() throws Exception {
