--- a/src/main/java/org/radishspan/http/ResponseSyntax.java
+++ b/src/main/java/org/radishspan/http/ResponseSyntax.java
@@ -11,9 +11,9 @@
 /**
  * Checks the lines of one response against the grammar of RFC 9110 and RFC 9112, ahead of its decoder.
  *
- * <p>The decoder is lenient: it takes any number for the status, ends the name of a field at the first blank, and takes a body
- * of an unknown transfer coding as it is, for example. Whatever a server in trouble sends in such a form is not its response: its status, its fields or the end of its
- * body may be different ones.
+ * <p>The decoder is lenient: it takes any number for the status, ends the name of a field at the first blank, and takes a
+ * body of an unknown transfer coding as it is, for example. Whatever a server in trouble sends in such a form is not its
+ * response: its status, its fields or the end of its body may be different ones.
  */
 final class ResponseSyntax {
     private static final byte[] PROTOCOL = "HTTP/1.".getBytes(ISO_8859_1);
@@ -55,7 +55,7 @@
     int check(ByteBuf in, int from) {
         int at = from;
         while (at < in.writerIndex() && part != Part.UNCHECKED) {
-            int next = part == Part.CHUNK_DATA ? skipChunkData(in, at) : checkLine(in, at);
+            int next = part == Part.CHUNK_DATA ? skipChunkData(in, at) : checkNextLine(in, at);
             if (next == at) {
                 return at;
             }
@@ -74,7 +74,7 @@
     }
 
     /** Checks the line at an index; returns the index of the next one, or the same index if the line is incomplete. */
-    private int checkLine(ByteBuf in, int from) {
+    private int checkNextLine(ByteBuf in, int from) {
         if (part == Part.STATUS_LINE) {
             checkProtocol(in, from);
         }
