Take a successful answer only if its body has no coding that the caller did not ask for

Cause: the header was passed on like any other.

Change: such an answer is a broken one, like a success without a signature, unless the caller's Accept-Encoding names a coding; "identity" is none.

--- a/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
+++ b/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
@@ -22,6 +22,7 @@
     private static final double MAX_PAUSE_SECONDS = 86_400;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final String EVENT_STREAM = "text/event-stream";
+    private static final String NO_CODING = "identity";
     private static final int LOAD_FIELDS = 3;
     private static final int LOAD_FIELDS_WITH_PACE = 4;
     private static final int MAX_DIGITS = 9;
@@ -67,6 +68,7 @@
                 headers.get(WireHeaders.NOT_RUN) != null,
                 status == MISDIRECTED_STATUS,
                 headers.get(WireHeaders.SIGNATURE) != null,
+                isContentCoded(headers.get("Content-Encoding")),
                 contentType != null && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM),
                 load(headers.get(WireHeaders.LOAD)),
                 announcesStop(headers.get(WireHeaders.STOP_ANNOUNCEMENT)),
@@ -77,6 +79,10 @@
                         .toList());
     }
 
+    private static boolean isContentCoded(@Nullable String contentEncoding) {
+        return contentEncoding != null && !contentEncoding.strip().equalsIgnoreCase(NO_CODING);
+    }
+
     private static boolean announcesStop(@Nullable String value) {
         return value != null && value.strip().equals("1");
     }
--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -194,6 +194,12 @@
             fail(FailureReason.BROKEN, "the successful answer has no signature of the target");
             return;
         }
+        if (answerHead.success() && answerHead.contentCoded() && !request.callerRequest.acceptsContentCodings()) {
+            fail(
+                    FailureReason.BROKEN,
+                    "the body of the successful answer has a coding that the caller did not ask for");
+            return;
+        }
         if (answerHead.stream() && answerHead.success()) {
             resultHandler.onStreamHead(this, answerHead);
         }
--- a/src/main/java/org/radishspan/relay/CallerRequest.java
+++ b/src/main/java/org/radishspan/relay/CallerRequest.java
@@ -39,6 +39,17 @@
         Optional<Prompt> prompt,
         OptionalLong lastEventId) {
 
+    private static final String ACCEPTED_CODINGS_HEADER = "Accept-Encoding";
+    private static final String NO_CODING = "identity";
+
+    /** Returns whether the caller accepts codings of the body of an answer. */
+    boolean acceptsContentCodings() {
+        return headers.stream()
+                .filter(header -> header.getKey().equalsIgnoreCase(ACCEPTED_CODINGS_HEADER))
+                .map(header -> header.getValue().strip())
+                .anyMatch(codings -> !codings.isEmpty() && !codings.equalsIgnoreCase(NO_CODING));
+    }
+
     /** Returns the path without the query. */
     public String path() {
         int query = uri.indexOf('?');
--- a/src/main/java/org/radishspan/relay/TargetProtocol.java
+++ b/src/main/java/org/radishspan/relay/TargetProtocol.java
@@ -42,6 +42,7 @@
      * @param notRun whether the target reports that it did not run the request
      * @param otherTarget whether a target other than the intended one answered at the address
      * @param signed whether the answer has the target's signature; a successful answer without it is not trusted
+     * @param contentCoded whether the body is encoded, as compressed bodies are
      * @param stream whether the body is a stream of events
      * @param load the load that the target reports; empty if it reports none
      * @param leaving whether the target announces that it is about to stop
@@ -54,6 +55,7 @@
             boolean notRun,
             boolean otherTarget,
             boolean signed,
+            boolean contentCoded,
             boolean stream,
             Optional<Load> load,
             boolean leaving,
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -273,6 +273,27 @@
         }
     }
 
+    /** Answers whose bodies are encoded, although callers of this platform ask for bodies without any encoding. */
+    public static class ContentCoded {
+        @Test
+        public void areNotRelayed() {
+            RelayHarness harness = new RelayHarness(2);
+            RelayHarness.Caller caller = harness.call("write");
+            harness.lastSent().answer(200, "coded", "X-Server-Stamp", "stamp", "Content-Encoding", "gzip");
+            assertEquals(caller.failure().ran(), Failure.Ran.UNKNOWN);
+        }
+
+        @Test
+        public void areReplacedByTheAnswerOfAnotherTargetIfTheRouteAllowsThat() {
+            RelayHarness harness = new RelayHarness(2);
+            RelayHarness.Caller caller = harness.call("read");
+            harness.lastSent().answer(200, "coded", "X-Server-Stamp", "stamp", "Content-Encoding", "gzip");
+            assertEquals(harness.sent.size(), 2);
+            harness.lastSent().answer(200, "done", "X-Server-Stamp", "stamp", "Content-Encoding", "identity");
+            assertEquals(caller.body.toString(), "done");
+        }
+    }
+
     /** Streams that break, stall or are slow. */
     public static class Streams {
         @Test
