Allocate the body of a request as its bytes arrive

What would happen: many callers that announce bodies of up to 64 KB and send them slowly occupy that memory at once, which the shared limit does not count against other small bodies.

Change: the announced length is reserved from the shared limit, and the memory grows with the received bytes up to it. A body of known length still needs no copy. A comment is wrapped.

After: HttpServerTest and RelaySystemTest, 0 failures.

--- a/src/main/java/org/radishspan/http/RequestBody.java
+++ b/src/main/java/org/radishspan/http/RequestBody.java
@@ -4,7 +4,10 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** The body of a request while it is received. Its memory counts towards a limit that all bodies of a server share. */
+/**
+ * The body of a request while it is received. Its memory counts towards a limit that all bodies of a server share: from the
+ * start if the length is known, otherwise as it grows. It is allocated as bytes arrive.
+ */
 final class RequestBody {
     private static final int MIN_CAPACITY_BYTES = 256;
 
@@ -17,29 +20,31 @@
         this.limit = limit;
     }
 
-    /** Reserves the memory for a body of a known length; returns false if the limit forbids it. */
+    /** Reserves memory for a body of a length; returns false if the limit forbids it. */
     boolean tryReserve(int lengthBytes) {
-        if (lengthBytes > heldBytes) {
-            if (!limit.tryAdd(heldBytes, lengthBytes - heldBytes)) {
-                return false;
-            }
-            heldBytes = lengthBytes;
-            bytes = Arrays.copyOf(bytes, lengthBytes);
+        if (lengthBytes <= heldBytes) {
+            return true;
         }
+        if (!limit.tryAdd(heldBytes, lengthBytes - heldBytes)) {
+            return false;
+        }
+        heldBytes = lengthBytes;
         return true;
     }
 
     /** Appends a part; returns false, without effect, if the limit forbids it. */
     boolean tryAppend(ByteBuf part) {
         int added = part.readableBytes();
-        if (size + added > bytes.length) {
-            int capacity = Math.max(Math.max(2 * bytes.length, size + added), MIN_CAPACITY_BYTES);
-            if (!tryReserve(capacity)) {
-                return false;
-            }
+        int needed = size + added;
+        int doubled = Math.max(2 * bytes.length, MIN_CAPACITY_BYTES);
+        if (needed > heldBytes && !tryReserve(Math.max(doubled, needed))) {
+            return false;
+        }
+        if (needed > bytes.length) {
+            bytes = Arrays.copyOf(bytes, (int) Math.min(heldBytes, Math.max(doubled, needed)));
         }
         part.readBytes(bytes, size, added);
-        size += added;
+        size = needed;
         return true;
     }
 
@@ -51,9 +56,9 @@
     byte[] toBytes() {
         if (size < bytes.length) {
             bytes = Arrays.copyOf(bytes, size);
-            limit.remove(heldBytes - size);
-            heldBytes = size;
         }
+        limit.remove(heldBytes - size);
+        heldBytes = size;
         return bytes;
     }
 
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -213,8 +213,8 @@
     }
 
     /**
-     * Answers all requests in progress because the process ends: as not run if they were not sent, otherwise as failed. Streams that have
-     * begun are aborted.
+     * Answers all requests in progress because the process ends: as not run if they were not sent, otherwise as failed.
+     * Streams that have begun are aborted.
      */
     public void endAll() {
         for (RelayRequest request : List.copyOf(requests)) {
