Use the libraries' checks of tokens and digits, and one stand-in for broken servers

ResponseSyntax had loops of its own for tokens and digits, which Netty (HttpHeaderValidationUtil) and Commons Lang (NumberUtils, used already) offer; HttpClientTest had a server with the same accept loop as ScriptedServer, and a second way to reset a connection.

Change: those are called instead. Behaviour, checks and assertions stay as they are.

--- a/src/main/java/org/radishspan/http/ResponseSyntax.java
+++ b/src/main/java/org/radishspan/http/ResponseSyntax.java
@@ -4,7 +4,9 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import org.apache.commons.lang3.math.NumberUtils;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
@@ -25,7 +27,9 @@
     private static final int MAX_NUMBER_DIGITS = 15;
     private static final int RADIX_HEX = 16;
     private static final int DELETE = 0x7f;
-    private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
+
+    /** The result of a validation that found no invalid character. */
+    private static final int VALID = -1;
 
     /** What the next bytes of a response are. */
     private enum Part {
@@ -109,11 +113,11 @@
     private void checkStatusLine(String line) {
         int end = STATUS_OFFSET + STATUS_DIGITS;
         boolean versionValid = line.length() >= end
-                && isDigit(line.charAt(PROTOCOL.length))
+                && Character.isDigit(line.charAt(PROTOCOL.length))
                 && line.charAt(PROTOCOL.length + 1) == ' ';
         require(versionValid, "the status line has no version or no status");
         String status = line.substring(STATUS_OFFSET, end);
-        boolean threeDigits = isWholeNumber(status) && (line.length() == end || line.charAt(end) == ' ');
+        boolean threeDigits = NumberUtils.isDigits(status) && (line.length() == end || line.charAt(end) == ' ');
         require(threeDigits, "the status is not a number of three digits");
         int code = Integer.parseInt(status);
         require(code >= MIN_STATUS && code <= MAX_STATUS, "the status " + status + " is not between 100 and 599");
@@ -133,7 +137,8 @@
         String value = line.substring(name.length() + 1).strip();
         if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
             require(!lengthGiven, "the response has several lengths");
-            require(isWholeNumber(value), "the length is not a whole number");
+            boolean wholeNumber = NumberUtils.isDigits(value) && value.length() <= MAX_NUMBER_DIGITS;
+            require(wholeNumber, "the length is not a whole number");
             lengthGiven = true;
         }
         if (HttpHeaderNames.TRANSFER_ENCODING.contentEqualsIgnoreCase(name)) {
@@ -177,35 +182,13 @@
         int colon = line.indexOf(':');
         require(colon > 0, "a line has no field name");
         String name = line.substring(0, colon);
-        require(isToken(name), "a field name holds a character that names may not hold");
+        require(
+                HttpHeaderValidationUtil.validateToken(name) == VALID,
+                "a field name holds a character that names may not hold");
         require(isText(line), "the field " + name + " holds a control character");
         return name;
     }
 
-    private static boolean isDigit(char character) {
-        return character >= '0' && character <= '9';
-    }
-
-    private static boolean isWholeNumber(String text) {
-        for (int i = 0; i < text.length(); i++) {
-            if (!isDigit(text.charAt(i))) {
-                return false;
-            }
-        }
-        return !text.isEmpty() && text.length() <= MAX_NUMBER_DIGITS;
-    }
-
-    private static boolean isToken(String text) {
-        for (int i = 0; i < text.length(); i++) {
-            char character = text.charAt(i);
-            boolean letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-            if (!letter && !isDigit(character) && TOKEN_PUNCTUATION.indexOf(character) < 0) {
-                return false;
-            }
-        }
-        return !text.isEmpty();
-    }
-
     /** Returns whether a text has no control characters but tabs. */
     private static boolean isText(String text) {
         for (int i = 0; i < text.length(); i++) {
--- a/src/test/java/org/radishspan/http/HttpClientTest.java
+++ b/src/test/java/org/radishspan/http/HttpClientTest.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -42,54 +41,28 @@
 
     /** A server that responds to each request with given bytes, whatever the request contains. */
     private static final class RawServer implements AutoCloseable {
-        private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final AtomicInteger connections = new AtomicInteger();
+        private final ScriptedServer server = new ScriptedServer(this::serve);
         private final IntFunction<String> responses;
         private final AtomicInteger requests = new AtomicInteger();
 
         RawServer(IntFunction<String> responses) throws IOException {
             this.responses = responses;
-            Thread acceptor = new Thread(this::accept, "raw-server");
-            acceptor.setDaemon(true);
-            acceptor.start();
-        }
-
-        private void accept() {
-            try {
-                while (true) {
-                    Socket connection = socket.accept();
-                    connections.incrementAndGet();
-                    Thread worker = new Thread(() -> serve(connection), "raw-connection");
-                    worker.setDaemon(true);
-                    worker.start();
-                }
-            } catch (IOException e) {
-                // The test has closed the server.
-                return;
-            }
         }
 
-        private void serve(Socket connection) {
-            try (connection) {
-                OutputStream out = connection.getOutputStream();
-                byte[] buffer = new byte[4_096];
-                while (connection.getInputStream().read(buffer) > 0) {
-                    String response = responses.apply(requests.getAndIncrement());
-                    out.write(response.getBytes(UTF_8));
-                    out.flush();
-                    if (response.contains("Connection: close")) {
-                        return;
-                    }
+        private void serve(Socket connection) throws IOException {
+            byte[] buffer = new byte[4_096];
+            while (connection.getInputStream().read(buffer) > 0) {
+                String response = responses.apply(requests.getAndIncrement());
+                ScriptedServer.send(connection, response);
+                if (response.contains("Connection: close")) {
+                    return;
                 }
-            } catch (IOException e) {
-                // The client has closed the connection.
-                return;
             }
         }
 
         @Override
         public void close() throws IOException {
-            socket.close();
+            server.close();
         }
     }
 
@@ -136,7 +109,7 @@
     }
 
     private String call(HttpClient client, RawServer server) throws InterruptedException {
-        return call(client, server.socket.getLocalPort());
+        return call(client, server.server.port());
     }
 
     private String call(HttpClient client, int port) throws InterruptedException {
@@ -150,7 +123,7 @@
             for (int i = 0; i < 5; i++) {
                 assertEquals(call(client, server), "200 ok");
             }
-            assertEquals(server.connections.get(), 1);
+            assertEquals(server.server.connections(), 1);
         }
     }
 
@@ -160,7 +133,7 @@
             HttpClient client = new HttpClient(group);
             assertEquals(call(client, server), "200 ok");
             assertEquals(call(client, server), "200 ok");
-            assertEquals(server.connections.get(), 2, "the first connection is not reused");
+            assertEquals(server.server.connections(), 2, "the first connection is not reused");
         }
     }
 
@@ -195,9 +168,9 @@
                 HttpClient client = new HttpClient(group);
                 assertEquals(call(client, server), "200 ok");
                 assertEquals(call(client, server), "200 ok", "the copy arrived first on the reused connection");
-                assertEquals(server.connections.get(), 1);
+                assertEquals(server.server.connections(), 1);
                 assertEquals(call(client, server), "200 ok");
-                assertEquals(server.connections.get(), 2, "that connection is not reused");
+                assertEquals(server.server.connections(), 2, "that connection is not reused");
             }
         }
     }
@@ -213,9 +186,9 @@
                 HttpClient client = new HttpClient(group);
                 assertEquals(call(client, server), "200 ok");
                 assertEquals(call(client, server), "200 ok", "the refusal arrived first on the reused connection");
-                assertEquals(server.connections.get(), 1);
+                assertEquals(server.server.connections(), 1);
                 assertEquals(call(client, server), "200 ok");
-                assertEquals(server.connections.get(), 2, "that connection is not reused");
+                assertEquals(server.server.connections(), 2, "that connection is not reused");
             }
         }
     }
@@ -230,7 +203,7 @@
                 HttpTransport.Call cancelled = client.send(
                         new HttpTransport.Request(
                                 InetAddress.getLoopbackAddress().getHostAddress(),
-                                server.socket.getLocalPort(),
+                                server.server.port(),
                                 "POST",
                                 "/",
                                 Map.of(),
@@ -273,7 +246,7 @@
             };
             HttpTransport.Request request = new HttpTransport.Request(
                     InetAddress.getLoopbackAddress().getHostAddress(),
-                    server.socket.getLocalPort(),
+                    server.server.port(),
                     "POST",
                     "/",
                     Map.of(),
@@ -310,23 +283,12 @@
 
     @Test
     public void aResponseWithoutALengthThatIsResetIsAFailure() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            Thread worker = new Thread(() -> resetAfterHead(socket), "resetting-server");
-            worker.setDaemon(true);
-            worker.start();
-            assertEquals(call(new HttpClient(group), socket.getLocalPort()), "failed");
-        }
-    }
-
-    private static void resetAfterHead(ServerSocket socket) {
-        try (Socket connection = socket.accept()) {
-            connection.getInputStream().read(new byte[4_096]);
-            connection.getOutputStream().write("HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nid: 1\n\n".getBytes(UTF_8));
-            connection.getOutputStream().flush();
-            // Closing without lingering resets the connection.
-            connection.setSoLinger(true, 0);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        try (ScriptedServer server = new ScriptedServer(connection -> {
+            ScriptedServer.readHead(connection);
+            ScriptedServer.send(connection, "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nid: 1\n\n");
+            ScriptedServer.reset(connection);
+        })) {
+            assertEquals(call(new HttpClient(group), server.port()), "failed");
         }
     }
 
