--- a/review/stand-ins-3/Engine.java
+++ b/review/stand-ins-3/Engine.java
@@ -86,6 +86,11 @@
         if (!listed || ended) {
             return 0;
         }
+        // A check-in that changes only the sequence does not change the entry.
+        ObjectNode before = (ObjectNode) store.spec("servers", id);
+        if (before != null && before.path("state").asText().equals(reportsDraining ? "draining" : "ready")) {
+            return 0;
+        }
         sequence++;
         ObjectNode spec = Store.JSON.createObjectNode();
         spec.put("service", service).put("address", host + ":" + port).put("zone", zone).put("version", "v1");
