--- a/review/stand-ins-3/Case12.java
+++ b/review/stand-ins-3/Case12.java
@@ -2,22 +2,24 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
 /**
- * A model engine leaves without a report of draining: the store acknowledges that its entry is removed. The store cuts waiting
- * watches off now and then. Callers are few, so that no answer of the engine tells the routers that it leaves.
+ * One of three model engines is in trouble: its streams go on without end, at the usual pace of events, until the caller closes.
+ * Callers of one workspace ask short questions until its prepaid tokens are used up.
  */
 final class Case12 {
     private static final int ROUTERS = 2;
-    private static final long WATCH_CUT_MILLIS = 800;
-    private static final long DRAIN_MILLIS = 2_000;
-    private static final long QUIET_MILLIS = 2_600;
-    private static final long EXIT_MILLIS = 3_600;
-    private static final int DIGESTS = 12;
+    private static final long PREPAID = 200_000;
+    private static final int QUESTIONS = 300;
+    private static final int GAP_MILLIS = 100;
+    private static final int EVENT_MILLIS = 20;
+    private static final String TOKENS = "628,288";
 
     private Case12() {}
 
@@ -25,9 +27,9 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int result = 2;
         try (Fleet fleet = new Fleet(Path.of(args[0]))) {
-            fleet.store.write("config", "main", fleet.configuration(7, 2_796_385));
+            fleet.store.write("config", "main", fleet.configuration(7, PREPAID));
             for (String zone : List.of("arequipa", "moquegua", "tacna")) {
-                fleet.engine("i-llm-" + zone, "llm", zone);
+                fleet.engine("i-llm-" + zone, "llm", zone).eventMillis = EVENT_MILLIS;
             }
             for (int i = 1; i <= ROUTERS; i++) {
                 fleet.router(i).start();
@@ -36,76 +38,67 @@
                 result = play(fleet, trouble);
             }
             fleet.noteRuns();
-            fleet.note("store: " + fleet.store.counts);
             fleet.note("exit code " + result);
         }
         System.exit(result);
     }
 
     private static int play(Fleet fleet, boolean trouble) throws Exception {
-        List<Fleet.Answer> answers = Collections.synchronizedList(new ArrayList<>());
-        ExecutorService callers = Executors.newCachedThreadPool();
         // The shares of the budget are granted meanwhile.
         Thread.sleep(4_000);
-        fleet.store.cutWatchesAfterMillis = trouble ? WATCH_CUT_MILLIS : 0;
-        for (int i = 0; i < 2 * DIGESTS; i++) {
-            digest(fleet, callers, answers, i);
-            Thread.sleep(150);
-        }
-        // The machines and the store are undisturbed for longer than contact_ms, and the requests so far end.
-        Thread.sleep(4_000);
-        // The engine that holds the shared part of the prompts gets most of the requests.
-        Engine engine = fleet.engines.stream()
-                .max(Comparator.comparingInt(candidate -> candidate.runs().size()))
-                .orElseThrow();
-        long acknowledgedNanos = engine.leaveSilently();
-        fleet.note("the store acknowledged that the entry of " + engine.id + " is removed");
-        Thread.sleep(QUIET_MILLIS);
-        int first = answers.size();
-        for (int i = 0; i < DIGESTS; i++) {
-            digest(fleet, callers, answers, i);
+        List<Fleet.Answer> answers = Collections.synchronizedList(new ArrayList<>());
+        ExecutorService callers = Executors.newCachedThreadPool();
+        for (int i = 0; i < QUESTIONS; i++) {
+            if (trouble && i == 10) {
+                // The engine that holds the shared part of the prompts gets most of the requests.
+                Engine engine = fleet.engines.stream()
+                        .max(Comparator.comparingInt(candidate -> candidate.runs().size()))
+                        .orElseThrow();
+                fleet.note("the streams of " + engine.id + " go on without end from now on");
+                engine.endless = true;
+            }
+            Fleet.Router router = fleet.routers.get(i % ROUTERS);
+            callers.execute(() -> {
+                Fleet.Answer answer =
+                        fleet.call(router, "POST", Fleet.CHAT + "2f", TOKENS, new byte[1_700], 15_000);
+                fleet.noteAnswer(router, answer);
+                answers.add(answer);
+            });
+            Thread.sleep(GAP_MILLIS);
         }
-        Thread.sleep(EXIT_MILLIS - QUIET_MILLIS);
-        engine.exit();
-        fleet.note(engine.id + " exits");
         callers.shutdown();
-        if (!callers.awaitTermination(20, TimeUnit.SECONDS)) {
+        if (!callers.awaitTermination(30, TimeUnit.SECONDS)) {
             return 2;
         }
-        return judge(fleet, engine, acknowledgedNanos, answers, first);
-    }
-
-    private static void digest(Fleet fleet, ExecutorService callers, List<Fleet.Answer> answers, int number) {
-        Fleet.Router router = fleet.routers.get(number % ROUTERS);
-        callers.execute(() -> {
-            Fleet.Answer answer =
-                    fleet.call(router, "POST", Fleet.DIGEST + "2f", "2890,75", new byte[18_000], 6_000);
-            fleet.noteAnswer(router, answer);
-            answers.add(answer);
-        });
+        return judge(fleet, answers);
     }
 
-    private static int judge(
-            Fleet fleet, Engine engine, long acknowledgedNanos, List<Fleet.Answer> answers, int first) {
-        long late = engine.runs().stream()
-                .filter(Engine.Run::ran)
-                .filter(run -> run.atNanos() > acknowledgedNanos + DRAIN_MILLIS * 1_000_000)
-                .peek(run -> fleet.note("DRAIN: " + run.id() + " reached " + run.engine() + " "
-                        + (run.atNanos() - acknowledgedNanos) / 1_000_000 + " ms after the acknowledgement"))
-                .count();
-        long served = answers.stream()
-                .limit(first)
-                .filter(answer -> answer.status() == 200 && answer.complete())
-                .count();
-        long lost = answers.stream().skip(first).filter(answer -> !answer.complete()).count();
-        String summary = served + " of " + first + " requests served before, " + late + " of " + DIGESTS
-                + " requests reached the engine later than " + DRAIN_MILLIS + " ms after the acknowledgement, " + lost
-                + " of them were cut off when it exited";
+    /** Counts what the workspace got: the prompt of each request that ran, and the tokens of the events that its client received. */
+    private static int judge(Fleet fleet, List<Fleet.Answer> answers) {
+        Set<String> ran = new HashSet<>();
+        for (Engine engine : fleet.engines) {
+            engine.runs().stream().filter(Engine.Run::ran).forEach(run -> ran.add(run.id()));
+        }
+        long inputTokens = Long.parseLong(TOKENS.split(",")[0]);
+        long got = 0;
+        int served = 0;
+        int mostEvents = 0;
+        for (Fleet.Answer answer : answers) {
+            if (ran.contains(answer.id())) {
+                got += inputTokens + (long) Engine.TOKENS_PER_EVENT * answer.events();
+            }
+            served += answer.status() == 200 && answer.complete() ? 1 : 0;
+            mostEvents = Math.max(mostEvents, answer.events());
+        }
+        String summary = "the workspace got " + got + " of " + PREPAID + " prepaid tokens in " + ran.size()
+                + " requests that ran, " + served + " of them answered whole; the longest answer had " + mostEvents
+                + " events, " + Engine.TOKENS_PER_EVENT * mostEvents + " tokens, where "
+                + TOKENS.split(",")[1] + " were asked for at most";
         fleet.note(summary);
         System.out.println(summary);
-        if (served < first * 9 / 10) {
+        if (served < 5) {
             return 2;
         }
-        return late > 0 ? 1 : 0;
+        return got > PREPAID ? 1 : 0;
     }
 }
--- a/review/stand-ins-3/Case13.java
+++ b/review/stand-ins-3/Case13.java
@@ -1,27 +1,23 @@
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The operator raises the longest body that callers may send. Callers keep their channels open, as before, and send longer bodies
- * on them some seconds after the store has acknowledged the new version.
+ * A model engine leaves without a report of draining: the store acknowledges that its entry is removed. The store cuts waiting
+ * watches off now and then. Callers are few, so that no answer of the engine tells the routers that it leaves.
  */
 final class Case13 {
     private static final int ROUTERS = 2;
-    private static final int CALLERS = 20;
-    private static final int SMALL_REQUESTS = 8;
-    private static final int SMALL_BYTES = 18_000;
-    private static final int LARGE_BYTES = 100_000;
-    private static final int OLD_LIMIT_BYTES = 65_536;
-    private static final int NEW_LIMIT_BYTES = 4_194_304;
-    private static final long APPLY_MILLIS = 2_000;
-    private static final long WAIT_MILLIS = 5_000;
+    private static final long WATCH_CUT_MILLIS = 800;
+    private static final long DRAIN_MILLIS = 2_000;
+    private static final long QUIET_MILLIS = 2_600;
+    private static final long EXIT_MILLIS = 3_600;
+    private static final int DIGESTS = 12;
 
     private Case13() {}
 
@@ -29,11 +25,9 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int result = 2;
         try (Fleet fleet = new Fleet(Path.of(args[0]))) {
-            ObjectNode first = fleet.configuration(7, 2_796_385);
-            Fleet.limits(first, 16_384, trouble ? OLD_LIMIT_BYTES : NEW_LIMIT_BYTES, 15_000);
-            fleet.store.write("config", "main", first);
+            fleet.store.write("config", "main", fleet.configuration(7, 2_796_385));
             for (String zone : List.of("arequipa", "moquegua", "tacna")) {
-                fleet.engine("i-app-" + zone, "app", zone);
+                fleet.engine("i-llm-" + zone, "llm", zone);
             }
             for (int i = 1; i <= ROUTERS; i++) {
                 fleet.router(i).start();
@@ -42,78 +36,76 @@
                 result = play(fleet, trouble);
             }
             fleet.noteRuns();
+            fleet.note("store: " + fleet.store.counts);
             fleet.note("exit code " + result);
         }
         System.exit(result);
     }
 
     private static int play(Fleet fleet, boolean trouble) throws Exception {
-        List<Fleet.Answer> small = Collections.synchronizedList(new ArrayList<>());
-        List<Fleet.Answer> large = Collections.synchronizedList(new ArrayList<>());
-        CountDownLatch opened = new CountDownLatch(CALLERS);
-        CountDownLatch inForce = new CountDownLatch(1);
+        List<Fleet.Answer> answers = Collections.synchronizedList(new ArrayList<>());
         ExecutorService callers = Executors.newCachedThreadPool();
-        for (int i = 0; i < CALLERS; i++) {
-            Fleet.Router router = fleet.routers.get(i % ROUTERS);
-            callers.execute(() -> call(fleet, router, small, large, opened, inForce));
+        // The shares of the budget are granted meanwhile.
+        Thread.sleep(4_000);
+        fleet.store.cutWatchesAfterMillis = trouble ? WATCH_CUT_MILLIS : 0;
+        for (int i = 0; i < 2 * DIGESTS; i++) {
+            digest(fleet, callers, answers, i);
+            Thread.sleep(150);
         }
-        opened.await(20, TimeUnit.SECONDS);
-        if (trouble) {
-            ObjectNode second = fleet.configuration(9, 2_796_385);
-            Fleet.limits(second, 16_384, NEW_LIMIT_BYTES, 15_000);
-            fleet.store.write("config", "main", second);
-            fleet.note("the store acknowledged version 9 with max_body_bytes " + NEW_LIMIT_BYTES);
+        // The machines and the store are undisturbed for longer than contact_ms, and the requests so far end.
+        Thread.sleep(4_000);
+        // The engine that holds the shared part of the prompts gets most of the requests.
+        Engine engine = fleet.engines.stream()
+                .max(Comparator.comparingInt(candidate -> candidate.runs().size()))
+                .orElseThrow();
+        long acknowledgedNanos = engine.leaveSilently();
+        fleet.note("the store acknowledged that the entry of " + engine.id + " is removed");
+        Thread.sleep(QUIET_MILLIS);
+        int first = answers.size();
+        for (int i = 0; i < DIGESTS; i++) {
+            digest(fleet, callers, answers, i);
         }
-        Thread.sleep(WAIT_MILLIS);
-        inForce.countDown();
+        Thread.sleep(EXIT_MILLIS - QUIET_MILLIS);
+        engine.exit();
+        fleet.note(engine.id + " exits");
         callers.shutdown();
-        if (!callers.awaitTermination(30, TimeUnit.SECONDS)) {
+        if (!callers.awaitTermination(20, TimeUnit.SECONDS)) {
             return 2;
         }
-        long served = small.stream().filter(answer -> answer.status() == 200).count();
-        long denied = large.stream().filter(answer -> answer.status() == 413).count();
-        int requests = small.size() + large.size();
-        double allowed = 5 + requests / 500.0;
-        String summary = served + " of " + small.size() + " short requests served; of " + large.size()
-                + " long ones, sent later than " + APPLY_MILLIS + " ms after the acknowledgement, "
-                + large.stream().filter(answer -> answer.status() == 200).count() + " served and " + denied
-                + " answered 413; allowed are " + allowed;
-        fleet.note(summary);
-        System.out.println(summary);
-        if (served < small.size() * 9 / 10) {
-            return 2;
-        }
-        return denied > allowed ? 1 : 0;
+        return judge(fleet, engine, acknowledgedNanos, answers, first);
     }
 
-    private static void call(
-            Fleet fleet,
-            Fleet.Router router,
-            List<Fleet.Answer> small,
-            List<Fleet.Answer> large,
-            CountDownLatch opened,
-            CountDownLatch inForce) {
-        try (Http.Connection channel = fleet.connect(router)) {
-            for (int i = 0; i < SMALL_REQUESTS; i++) {
-                send(fleet, router, channel, SMALL_BYTES, small);
-                Thread.sleep(200);
-            }
-            opened.countDown();
-            // The channel stays in use until the new version is in force.
-            while (!inForce.await(800, TimeUnit.MILLISECONDS)) {
-                send(fleet, router, channel, SMALL_BYTES, small);
-            }
-            send(fleet, router, channel, LARGE_BYTES, large);
-        } catch (java.io.IOException | InterruptedException e) {
-            fleet.note("a caller failed: " + e);
-        }
+    private static void digest(Fleet fleet, ExecutorService callers, List<Fleet.Answer> answers, int number) {
+        Fleet.Router router = fleet.routers.get(number % ROUTERS);
+        callers.execute(() -> {
+            Fleet.Answer answer =
+                    fleet.call(router, "POST", Fleet.DIGEST + "2f", "2890,75", new byte[18_000], 6_000);
+            fleet.noteAnswer(router, answer);
+            answers.add(answer);
+        });
     }
 
-    private static void send(
-            Fleet fleet, Fleet.Router router, Http.Connection channel, int bytes, List<Fleet.Answer> answers) {
-        Fleet.Answer answer =
-                fleet.exchange(channel, "POST", Fleet.SIGN + "2f", fleet.nextId(), "", new byte[bytes], 1_500);
-        fleet.noteAnswer(router, answer);
-        answers.add(answer);
+    private static int judge(
+            Fleet fleet, Engine engine, long acknowledgedNanos, List<Fleet.Answer> answers, int first) {
+        long late = engine.runs().stream()
+                .filter(Engine.Run::ran)
+                .filter(run -> run.atNanos() > acknowledgedNanos + DRAIN_MILLIS * 1_000_000)
+                .peek(run -> fleet.note("DRAIN: " + run.id() + " reached " + run.engine() + " "
+                        + (run.atNanos() - acknowledgedNanos) / 1_000_000 + " ms after the acknowledgement"))
+                .count();
+        long served = answers.stream()
+                .limit(first)
+                .filter(answer -> answer.status() == 200 && answer.complete())
+                .count();
+        long lost = answers.stream().skip(first).filter(answer -> !answer.complete()).count();
+        String summary = served + " of " + first + " requests served before, " + late + " of " + DIGESTS
+                + " requests reached the engine later than " + DRAIN_MILLIS + " ms after the acknowledgement, " + lost
+                + " of them were cut off when it exited";
+        fleet.note(summary);
+        System.out.println(summary);
+        if (served < first * 9 / 10) {
+            return 2;
+        }
+        return late > 0 ? 1 : 0;
     }
 }
--- a/review/stand-ins-3/Engine.java
+++ b/review/stand-ins-3/Engine.java
@@ -50,6 +50,9 @@
     /** The part of the requests that this engine fails with {@link #failureStatus} after it has run them. */
     volatile double failedShare;
 
+    /** Whether streams go on without end, until the caller closes. */
+    volatile boolean endless;
+
     volatile String failureStatus = "503 Service Unavailable";
     volatile boolean leaving;
     volatile boolean listed = true;
@@ -231,7 +234,7 @@
         headers.put("Content-Type", "text/event-stream");
         headers.put("Transfer-Encoding", "chunked");
         connection.write("HTTP/1.1 200 OK", headers, null);
-        for (int i = from + 1; i <= count; i++) {
+        for (int i = from + 1; i <= count || endless; i++) {
             Thread.sleep(eventMillis);
             connection.writeChunk(("id: " + i + "\ndata: " + request.header("x-attempt-id") + "-" + i + "\n\n")
                     .getBytes(StandardCharsets.UTF_8));
--- a/review/stand-ins-3/Fleet.java
+++ b/review/stand-ins-3/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -90,7 +91,6 @@
                     "base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform")) {
                 policies.add(policy);
             }
-            if (Boolean.getBoolean("pressure")) policies.add("pressure");
             ObjectNode bounds = root.putObject("bounds");
             bounds.put("contact_ms", 3_000).put("ack_ms", 4_000).put("drain_ms", 2_000).put("grace_s", 8);
             bounds.put("loss_slack_ms", 200).put("config_apply_ms", 2_000).put("rollback_slack_ms", 250);
@@ -128,10 +128,13 @@
         this.folder = Files.createTempDirectory("fleet");
         this.store = new Store(STORE_HOST, 0);
         this.frontPort = freePorts();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endRouters));
     }
 
     private static int freePorts() throws IOException {
-        for (int port = 21_000; port < 29_000; port += 10) {
+        // Several cases may run at the same time.
+        int firstPort = 21_000 + 10 * ThreadLocalRandom.current().nextInt(400);
+        for (int port = firstPort; port < firstPort + 4_000; port += 10) {
             boolean free = true;
             for (int vm = 1; vm <= 6 && free; vm++) {
                 for (int offset = 0; offset < 5 && free; offset++) {
@@ -382,13 +385,17 @@
         }
     }
 
-    @Override
-    public void close() throws IOException {
+    private void endRouters() {
         for (Router router : routers) {
             if (router.process != null) {
                 router.process.destroyForcibly();
             }
         }
+    }
+
+    @Override
+    public void close() throws IOException {
+        endRouters();
         synchronized (this) {
             Files.writeString(recordFile, record);
         }
