--- a/review/stand-ins-3/Fleet.java
+++ b/review/stand-ins-3/Fleet.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -28,7 +27,10 @@
     static final String DIGEST = "/lohu930/";
     static final String SIGN = "/pule252/";
     static final String READ = "/puxa403/";
-    private static final String STORE_HOST = "127.0.61.1";
+    /** Each process has loopback addresses of its own, so that several cases may run at the same time. */
+    private static final String NETWORK = network(ProcessHandle.current().pid());
+
+    private static final String STORE_HOST = NETWORK + 250;
     private static final String[] ZONES = {"arequipa", "moquegua", "tacna"};
 
     final Path folder;
@@ -131,16 +133,18 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::endRouters));
     }
 
+    private static String network(long pid) {
+        return "127." + (64 + (pid >> 8) % 128) + "." + (pid & 255) + ".";
+    }
+
     private static int freePorts() throws IOException {
-        // Several cases may run at the same time.
-        int firstPort = 21_000 + 10 * ThreadLocalRandom.current().nextInt(400);
-        for (int port = firstPort; port < firstPort + 4_000; port += 10) {
+        for (int port = 21_000; port < 29_000; port += 10) {
             boolean free = true;
             for (int vm = 1; vm <= 6 && free; vm++) {
                 for (int offset = 0; offset < 5 && free; offset++) {
                     try (ServerSocket probe = new ServerSocket()) {
                         probe.setReuseAddress(true);
-                        probe.bind(new InetSocketAddress("127.0.62." + vm, port + offset));
+                        probe.bind(new InetSocketAddress(NETWORK + vm, port + offset));
                     } catch (IOException e) {
                         free = false;
                     }
@@ -167,14 +171,14 @@
     Engine engine(String id, String service, String zone) throws IOException {
         int slots = service.equals("llm") ? 64 : 6;
         Engine engine =
-                new Engine(store, id, service, "127.0.63." + (engines.size() + 1), 0, zone, slots, 3 * slots);
+                new Engine(store, id, service, NETWORK + (100 + engines.size()), 0, zone, slots, 3 * slots);
         engines.add(engine);
         return engine;
     }
 
     Router router(int number) throws IOException {
         String zone = ZONES[(number - 1) % ZONES.length];
-        Router router = new Router("front-" + zone + "-" + number, "127.0.62." + number, zone);
+        Router router = new Router("front-" + zone + "-" + number, NETWORK + number, zone);
         routers.add(router);
         return router;
     }
