--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,4 +1,8 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout 110 java -Xmx128m -cp target/review-3:target/radishspan.jar Case11 review/11
+[ -f target/review-3/Case11.class ] && [ -f target/radishspan.jar ] || exit 2
+timeout 110 java -Xmx128m -cp target/review-3:target/radishspan.jar Case11 review/11
+result=$?
+[ $result -le 1 ] || result=2
+exit $result
--- a/review/stand-ins-3/Case11.java
+++ b/review/stand-ins-3/Case11.java
@@ -38,7 +38,7 @@
             }
             fleet.noteRuns();
             fleet.note("exit code " + result);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
             result = 2;
         }
--- a/review/stand-ins-3/Case12.java
+++ b/review/stand-ins-3/Case12.java
@@ -39,7 +39,7 @@
             }
             fleet.noteRuns();
             fleet.note("exit code " + result);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
             result = 2;
         }
--- a/review/stand-ins-3/Case13.java
+++ b/review/stand-ins-3/Case13.java
@@ -38,7 +38,7 @@
             fleet.noteRuns();
             fleet.note("store: " + fleet.store.counts);
             fleet.note("exit code " + result);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
             result = 2;
         }
--- a/review/stand-ins-3/Case14.java
+++ b/review/stand-ins-3/Case14.java
@@ -44,7 +44,7 @@
             }
             fleet.noteRuns();
             fleet.note("exit code " + result);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
             result = 2;
         }
--- a/review/stand-ins-3/Case15.java
+++ b/review/stand-ins-3/Case15.java
@@ -43,7 +43,7 @@
             }
             fleet.noteRuns();
             fleet.note("exit code " + result);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
             result = 2;
         }
