Replace a target's failure whose status would mean "not run" to callers

Entries of the log were filed twice.

Cause: a target states that it did not run a request by X-Not-Executed or 421, and by nothing else. RelaySystem relayed every other failure unchanged, also with 408, 429 and 503, which callers take for that statement.

Ruled out by the log: a repeated send of the router (sends is 1), a refusal of its own (no request_failed).

Change: AnswerHead.statusMeansNotRun. What targets state themselves is handled as before.

--- a/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
+++ b/src/main/java/org/radishspan/platform/HttpTargetProtocol.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.apache.commons.lang3.math.NumberUtils;
 import org.jspecify.annotations.Nullable;
@@ -17,8 +18,15 @@
 
 /** Builds HTTP requests to targets and decodes the heads of their responses, in the platform's header format. */
 public final class HttpTargetProtocol implements TargetProtocol {
+    private static final int TIMEOUT_STATUS = 408;
     private static final int MISDIRECTED_STATUS = 421;
+    private static final int TOO_MANY_REQUESTS_STATUS = 429;
     private static final int UNAVAILABLE_STATUS = 503;
+
+    /** The statuses by which callers learn that a request has not run and will not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES =
+            Set.of(TIMEOUT_STATUS, MISDIRECTED_STATUS, TOO_MANY_REQUESTS_STATUS, UNAVAILABLE_STATUS);
+
     private static final double MAX_PAUSE_SECONDS = 86_400;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final String EVENT_STREAM = "text/event-stream";
@@ -66,6 +74,7 @@
         return new AnswerHead(
                 status,
                 headers.get(WireHeaders.NOT_RUN) != null,
+                NOT_RUN_STATUSES.contains(status),
                 status == MISDIRECTED_STATUS,
                 headers.get(WireHeaders.SIGNATURE) != null,
                 isContentCoded(headers.get("Content-Encoding")),
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -33,7 +33,8 @@
  * Relays requests from callers to targets, and the answers back to the callers.
  *
  * <p>Safety rules: once the first byte of a request has been sent to a target, the request may have run there. A request that
- * may have run is sent again only if its route allows it, and its caller never gets an answer that says it did not run.
+ * may have run is sent again only if its route allows it, and its caller never gets an answer that says it did not run. That
+ * includes the answer of a target whose status says so while the target does not report it.
  */
 public final class RelaySystem {
 
@@ -462,24 +463,43 @@
 
     /** Sends a request that may have run again if its route, its deadline and the retry budget allow it; otherwise fails it. */
     private void resendPossiblyRun(RelayRequest request, String detail) {
+        if (!tryResendPossiblyRun(request)) {
+            fail(request, Failure.unknown(ErrorKind.TARGET_FAILED, detail));
+        }
+    }
+
+    /**
+     * Sends a request that may have run again if its route, its deadline and the retry budget allow it. Returns whether they
+     * do.
+     */
+    private boolean tryResendPossiblyRun(RelayRequest request) {
         request.attempt = null;
         boolean allowed = request.route.repeatable()
                 && request.targetsThatMayHaveRun < request.route.maxAttempts()
                 && request.remainingMillis(now()) >= MIN_REMAINING_MILLIS;
         if (!allowed
                 || !retryBudget.tryTake(request.service, ports.liveRouters().getAsInt(), now())) {
-            fail(request, Failure.unknown(ErrorKind.TARGET_FAILED, detail));
-            return;
+            return false;
         }
         if (request.relayedEvents > 0) {
             ports.metrics().onResumedStream();
         }
         ports.metrics().onRepeatedSend();
         place(request);
+        return true;
     }
 
     /** Answers a request with a failure, or aborts its stream if the head was already relayed. */
     private void fail(RelayRequest request, Failure failure) {
+        fail(request, failure, false);
+    }
+
+    /**
+     * Answers a request with a failure, or aborts its stream if the head was already relayed.
+     *
+     * @param targetAnswered whether a target has answered the request completely, so that the tokens that it used are known
+     */
+    private void fail(RelayRequest request, Failure failure, boolean targetAnswered) {
         if (request.finished) {
             return;
         }
@@ -497,7 +517,7 @@
                 .with("elapsed_ms", now() - request.acceptedAtMillis)
                 .with("retry_after_ms", failure.retryAfterMillis())
                 .write();
-        finish(request, false);
+        finish(request, targetAnswered);
         if (request.headRelayed) {
             ports.metrics().onStreamAborted();
             request.exchange.abort();
@@ -506,7 +526,7 @@
         request.exchange.fail(failure);
     }
 
-    /** Ends a request; {@code answered} says whether it got a complete answer, whose tokens are billed. */
+    /** Ends a request; {@code answered} says whether a target answered it completely, so that its tokens are known. */
     private void finish(RelayRequest request, boolean answered) {
         request.finished = true;
         requests.remove(request);
@@ -752,6 +772,10 @@
                 resendPossiblyRun(request, "the target answered the resumed stream with status " + head.status());
                 return;
             }
+            if (head.statusMeansNotRun()) {
+                handleUnfoundedStatus(attempt, head);
+                return;
+            }
             boolean retry = head.targetFailed()
                     && request.route.kind() == RouteKind.IDEMPOTENT
                     && request.targetsThatMayHaveRun + 1 < request.route.maxAttempts()
@@ -770,6 +794,22 @@
             request.exchange.respond(head.status(), head.relayedHeaders(), body);
         }
 
+        /**
+         * Handles an answer whose status tells callers that the request did not run, although the target does not report that.
+         * It is not relayed: its caller would repeat a request that may have run.
+         */
+        private void handleUnfoundedStatus(Attempt attempt, TargetProtocol.AnswerHead head) {
+            RelayRequest request = attempt.request;
+            String detail = "the target answered with status " + head.status()
+                    + " without reporting that it did not run the request";
+            logFailure(attempt, Attempt.FailureReason.TARGET_FAILED, detail);
+            request.targetsThatMayHaveRun++;
+            request.triedTargets.add(attempt.target.name());
+            if (!tryResendPossiblyRun(request)) {
+                fail(request, Failure.unknown(ErrorKind.TARGET_FAILED, detail), true);
+            }
+        }
+
         private void recordEstimate(Attempt attempt) {
             RelayRequest request = attempt.request;
             request.estimateMillis = Math.round(attempt.estimateMillis);
--- a/src/main/java/org/radishspan/relay/TargetProtocol.java
+++ b/src/main/java/org/radishspan/relay/TargetProtocol.java
@@ -40,6 +40,7 @@
      *
      * @param status the HTTP status
      * @param notRun whether the target reports that it did not run the request
+     * @param statusMeansNotRun whether callers conclude from the status alone that the request did not run
      * @param otherTarget whether a target other than the intended one answered at the address
      * @param signed whether the answer has the target's signature; a successful answer without it is not trusted
      * @param contentCoded whether the body is encoded, as compressed bodies are
@@ -53,6 +54,7 @@
     record AnswerHead(
             int status,
             boolean notRun,
+            boolean statusMeansNotRun,
             boolean otherTarget,
             boolean signed,
             boolean contentCoded,
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -202,6 +202,36 @@
             assertTrue(harness.lastSent().cancelled);
         }
 
+        @DataProvider
+        public Object[][] statusesThatMeanNotRun() {
+            return new Object[][] {{408}, {429}, {503}};
+        }
+
+        /**
+         * Guards against log entries that were filed twice (review/11): a target ran them and failed with a status that means
+         * "not run" to callers, who sent them again.
+         */
+        @Test(dataProvider = "statusesThatMeanNotRun")
+        public void areNotReportedAsNotRunUnlessTheTargetReportsIt(int status) {
+            RelayHarness harness = new RelayHarness(3);
+            RelayHarness.Caller caller = harness.call("write");
+            harness.lastSent().answer(status, "failed", "X-Server-Stamp", "stamp", "Retry-After", "0.1");
+            assertEquals(harness.sent.size(), 1, "a request that may have run is not sent again");
+            assertEquals(caller.status, 0, "the answer of the target is not relayed");
+            assertEquals(caller.failure().kind(), ErrorKind.TARGET_FAILED);
+            assertEquals(caller.failure().ran(), Failure.Ran.UNKNOWN);
+            assertEquals(caller.failure().retryAfterMillis(), 0);
+        }
+
+        @Test(dataProvider = "statusesThatMeanNotRun")
+        public void areReportedAsNotRunIfTheTargetReportsIt(int status) {
+            RelayHarness harness = new RelayHarness(1);
+            RelayHarness.Caller caller = harness.call("write");
+            harness.lastSent().head(status, "X-Not-Executed", "1");
+            assertEquals(caller.failure().ran(), Failure.Ran.NO);
+            assertTrue(caller.failure().retryAfterMillis() > 0);
+        }
+
         @Test
         public void areNotRepeatedAfterAServerErrorOfTheTarget() {
             RelayHarness harness = new RelayHarness(2);
@@ -227,6 +257,36 @@
             assertEquals(harness.sent.size(), 4);
         }
 
+        @DataProvider
+        public Object[][] routesAndStatusesThatMeanNotRun() {
+            return new Object[][] {{"read", 408}, {"read", 429}, {"read", 503}, {"stream", 429}, {"stream", 503}};
+        }
+
+        /** Guards against refusing requests that their routes allow to be repeated, when targets fail with such a status. */
+        @Test(dataProvider = "routesAndStatusesThatMeanNotRun")
+        public void areSentAgainAfterAStatusThatMeansNotRun(String route, int status) {
+            RelayHarness harness = new RelayHarness(3);
+            RelayHarness.Caller caller = harness.call(route);
+            String first = harness.lastSent().target();
+            harness.lastSent().answer(status, "failed", "X-Server-Stamp", "stamp");
+            assertEquals(harness.sent.size(), 2);
+            assertNotEquals(harness.lastSent().target(), first);
+            harness.lastSent().answer(status, "failed", "X-Server-Stamp", "stamp");
+            assertEquals(harness.sent.size(), 2, "the route allows two targets");
+            assertEquals(caller.failure().kind(), ErrorKind.TARGET_FAILED);
+            assertEquals(caller.failure().ran(), Failure.Ran.UNKNOWN);
+        }
+
+        @Test
+        public void areNotReportedAsNotRunIfOnlyTheLastTargetReportsIt() {
+            RelayHarness harness = new RelayHarness(2);
+            RelayHarness.Caller caller = harness.call("read");
+            harness.lastSent().answer(503, "failed", "X-Server-Stamp", "stamp");
+            harness.lastSent().head(503, "X-Not-Executed", "1");
+            assertEquals(caller.failure().kind(), ErrorKind.TARGET_FAILED);
+            assertEquals(caller.failure().ran(), Failure.Ran.UNKNOWN);
+        }
+
         @Test
         public void reachNoMoreTargetsThanTheRouteAllows() {
             RelayHarness harness = new RelayHarness(5);
