Remove targets at once although watches of the store were cut off

Meanwhile each watch that had waited 0.8 s was cut off; all other calls to the store were answered.

Cause: entries of live targets lapse while the store is away, so a target without an entry is kept until 2.2 s after an outage. Each failed call of the watch counted as an outage, and began the 2.2 s anew.

Ruled out: an unread removal, and requests placed before it.

Change: an outage is a time in which the store answered nothing for two check-in intervals of the targets (heartbeat_ms), the least in which an entry of a live target can lapse. Shorter failures only stop the 2.2 s while they last.

--- a/src/main/java/org/radishspan/deployment/TargetDirectory.java
+++ b/src/main/java/org/radishspan/deployment/TargetDirectory.java
@@ -32,10 +32,10 @@
     private static final int MAX_REMOVED = 10_000;
 
     /** Time after an outage in which missing entries are tolerated. Lapsed entries are written again within two seconds. */
-    private static final long ENTRIES_RESTORED_MILLIS = 2_200;
+    public static final long ENTRIES_RESTORED_MILLIS = 2_200;
 
     private final TargetTable targets;
-    private final LongPredicate storeFailedWithin;
+    private final LongPredicate storeOutageWithin;
     private final EventLog log;
     private final LongSupplier clockMillis;
     private final Consumer<Target> onEnded;
@@ -61,18 +61,19 @@
     /**
      * Creates the directory.
      *
-     * @param storeFailedWithin returns whether a call to the store has failed within the given number of milliseconds
+     * @param storeOutageWithin returns whether there was an outage of the store within the given number of milliseconds, long
+     *     enough for entries of live targets to lapse
      * @param clockMillis a monotonic clock in milliseconds
      * @param onEnded receives each target that has been replaced by another incarnation
      */
     public TargetDirectory(
             TargetTable targets,
-            LongPredicate storeFailedWithin,
+            LongPredicate storeOutageWithin,
             LongSupplier clockMillis,
             EventLog log,
             Consumer<Target> onEnded) {
         this.targets = targets;
-        this.storeFailedWithin = storeFailedWithin;
+        this.storeOutageWithin = storeOutageWithin;
         this.clockMillis = clockMillis;
         this.log = log;
         this.onEnded = onEnded;
@@ -209,7 +210,7 @@
     @Override
     public void onAbsent(String name) {
         heldEntries.remove(name);
-        if (storeFailedWithin.test(ENTRIES_RESTORED_MILLIS)) {
+        if (storeOutageWithin.test(ENTRIES_RESTORED_MILLIS)) {
             lapsed.put(name, true);
             log.belief("target_lapsed")
                     .with("target", name)
@@ -256,7 +257,7 @@
     public void tick() {
         releaseHeldEntries();
         endColdTimes();
-        if (lapsed.isEmpty() || storeFailedWithin.test(ENTRIES_RESTORED_MILLIS)) {
+        if (lapsed.isEmpty() || storeOutageWithin.test(ENTRIES_RESTORED_MILLIS)) {
             return;
         }
         lapsed.keySet().forEach(name -> remove(name, "its entry did not reappear after an outage of the store"));
--- a/src/main/java/org/radishspan/deployment/VmSettings.java
+++ b/src/main/java/org/radishspan/deployment/VmSettings.java
@@ -37,7 +37,7 @@
         List<String> replacements) {
 
     /**
-     * The bounds that the users promise their callers.
+     * The bounds that the users promise their callers, and the intervals on which they rest.
      *
      * @param stopGraceMillis the time from SIGTERM until the process is killed
      * @param drainMillis the maximum time after which a leaving target receives no new requests
@@ -47,6 +47,7 @@
      * @param retryWindowMillis the length of the window in which repeated sends are counted
      * @param retrySlack how many repeated sends all routers together may make beyond the ratio
      * @param evacuationMillis the maximum time after which an evacuated failure domain receives no new requests
+     * @param targetCheckInMillis the interval at which targets write their entries in the store
      */
     public record Bounds(
             long stopGraceMillis,
@@ -56,7 +57,8 @@
             double retryRatio,
             long retryWindowMillis,
             double retrySlack,
-            long evacuationMillis) {}
+            long evacuationMillis,
+            long targetCheckInMillis) {}
 
     /**
      * The platform's object API and its limits.
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -149,6 +149,15 @@
     /** Minimum wait time of a watch for the configuration and for targets. */
     private static final long MIN_WATCH_MILLIS = 1_000;
 
+    /**
+     * The shortest outage of the store in which the entry of a live target can lapse, in check-in intervals of the target. An
+     * entry lapses after three intervals without a check-in, and the last one before the outage may be one interval old.
+     */
+    private static final long MIN_OUTAGE_INTERVALS = 2;
+
+    /** Time that a watch needs, beyond its wait time, to be sent again and answered after it was cut off. */
+    private static final long WATCH_RESTART_MILLIS = 400;
+
     /** Wait time of a watch for the list of routers. It may be long because heartbeats also show which routers are running. */
     private static final long ROUTERS_WATCH_MILLIS = 10_000;
 
@@ -246,12 +255,13 @@
         this.targets = new TargetTable(limitDivision);
         this.targetDirectory = new TargetDirectory(
                 targets,
-                this::targetWatchFailedWithin,
+                millis -> targetWatch().hadOutageWithin(millis),
                 ports.clockMillis(),
                 ports.log(),
                 target -> relay().onTargetEnded(target));
+        long targetWatchMillis = targetWatchMillis(watchMillis);
         this.targetWatch =
-                watch(TargetCodec.KIND, targetDecoder(), targetDirectory, () -> feed().waitMillis(watchMillis));
+                watch(TargetCodec.KIND, targetDecoder(), targetDirectory, () -> feed().waitMillis(targetWatchMillis));
         this.objectPorts = new SharedObject.Ports(
                 ports.store(),
                 ports.storeEra(),
@@ -423,7 +433,8 @@
             Function<JsonNode, Optional<T>> decoder,
             KindWatch.Listener<T> listener,
             LongSupplier waitMillis) {
-        KindWatch.Pace pace = new KindWatch.Pace(waitMillis, this::watchPauseMillis, () -> feed().maxBackoffMillis());
+        KindWatch.Pace pace = new KindWatch.Pace(
+                waitMillis, this::watchPauseMillis, () -> feed().maxBackoffMillis(), this::minOutageMillis);
         KindWatch.Ports watchPorts = new KindWatch.Ports(ports.kinds(), ports.storeEra(), ports.random(), ports.log());
         return new KindWatch<>(kind, watchPorts, decoder, listener, pace);
     }
@@ -455,8 +466,25 @@
         return Math.max(minPauseMillis, routerCount() * MILLIS_PER_SECOND / FLEET_WATCH_CALLS_PER_SECOND);
     }
 
-    private boolean targetWatchFailedWithin(long millis) {
-        return targetWatch.failedWithin(millis);
+    private KindWatch<TargetEntry> targetWatch() {
+        return targetWatch;
+    }
+
+    private long minOutageMillis() {
+        return MIN_OUTAGE_INTERVALS * settings.bounds().targetCheckInMillis();
+    }
+
+    /**
+     * Returns the wait time of a watch for targets. A watch that is cut off after it has waited for the shortest outage cannot
+     * be distinguished from one that ends with an outage, so that missing entries are kept for a while. Watches do not wait for
+     * so long where that would exceed the time in which targets must be removed, or where further cuts could prolong it.
+     */
+    private long targetWatchMillis(long watchMillis) {
+        long keptMillis = TargetDirectory.ENTRIES_RESTORED_MILLIS;
+        boolean mayBeKept =
+                settings.bounds().drainMillis() >= keptMillis + WATCH_RESTART_MILLIS && minOutageMillis() > keptMillis;
+        long unambiguousMillis = Math.max(MIN_WATCH_MILLIS, minOutageMillis() - WATCH_RESTART_MILLIS);
+        return mayBeKept ? watchMillis : Math.min(watchMillis, unambiguousMillis);
     }
 
     private int routerCount() {
@@ -723,7 +751,7 @@
 
     /** Lets the ledgers retry at once when the store has recovered, which may have been reported by another router. */
     private void detectStoreRecovery() {
-        boolean failing = targetWatch.failedWithin(0);
+        boolean failing = targetWatch.failing();
         if (storeFailing && !failing) {
             ledgers.all().forEach(SharedObject::onStoreRecovered);
         }
--- a/src/main/java/org/radishspan/front/KindFeed.java
+++ b/src/main/java/org/radishspan/front/KindFeed.java
@@ -295,7 +295,7 @@
                 .setFromRevision(update.fromRevision())
                 .setRevision(update.revision())
                 .setAnsweredAgoMillis(update.answeredAgoMillis())
-                .setFailedAgoMillis(update.failedAgoMillis());
+                .setFailedAgoMillis(update.outageAgoMillis());
         if (update.era() != StoreEra.UNKNOWN) {
             builder.setEra(update.era());
         }
--- a/src/main/java/org/radishspan/platform/VmSettingsReader.java
+++ b/src/main/java/org/radishspan/platform/VmSettingsReader.java
@@ -64,7 +64,7 @@
                 listen.address("front"),
                 listen.address("ready"),
                 peerPorts(fields),
-                bounds(fields.optionalObject("bounds")),
+                bounds(fields),
                 store(fields.object("platform")),
                 resources(fields.optionalObject("limits")),
                 features(fields),
@@ -101,7 +101,8 @@
         return ports;
     }
 
-    private static VmSettings.Bounds bounds(JsonFields fields) {
+    private static VmSettings.Bounds bounds(JsonFields root) {
+        JsonFields fields = root.optionalObject("bounds");
         return new VmSettings.Bounds(
                 millis(fields, "grace_s", 0, 8),
                 (long) fields.lenientNumber("drain_ms", 0, MAX_MILLIS, 2_000),
@@ -111,7 +112,8 @@
                 fields.lenientNumber("retry_ratio", 0, 1, 0.2),
                 millis(fields, "retry_window_s", 1, 10),
                 fields.lenientNumber("retry_slack", 0, MAX_COUNT, 0),
-                (long) fields.lenientNumber("evacuate_ms", 0, MAX_MILLIS, 5_000));
+                (long) fields.lenientNumber("evacuate_ms", 0, MAX_MILLIS, 5_000),
+                (long) root.lenientNumber("heartbeat_ms", 1, MAX_MILLIS, 1_200));
     }
 
     private static long millis(JsonFields fields, String key, double minimumSeconds, double defaultSeconds) {
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -72,8 +72,14 @@
      * @param pauseMillis the pause after a watch call that returned changes; it collects further changes for the next
      *     call, because otherwise each change would cost one call by every router
      * @param maxBackoffMillis the maximum back-off after a failed call; the average is half of it
+     * @param minOutageMillis how long the store must have left all calls unanswered for a failure to count as an outage. A watch
+     *     that waits may be cut off while the store is available, so that one failed call is no evidence of an outage.
      */
-    public record Pace(LongSupplier waitMillis, LongSupplier pauseMillis, LongSupplier maxBackoffMillis) {}
+    public record Pace(
+            LongSupplier waitMillis,
+            LongSupplier pauseMillis,
+            LongSupplier maxBackoffMillis,
+            LongSupplier minOutageMillis) {}
 
     /**
      * An update from another router's view of the same kind.
@@ -83,7 +89,7 @@
      * @param revision the revision up to which the other view is complete
      * @param changes the changes between the two revisions, in order
      * @param answeredAgoMillis the time since the store last answered the other view, in milliseconds
-     * @param failedAgoMillis the time since a call of the other view last failed, in milliseconds
+     * @param outageAgoMillis the time since the last outage of the store that the other view knows of, in milliseconds
      */
     public record Update(
             long era,
@@ -91,7 +97,7 @@
             long revision,
             List<ObjectKinds.Change> changes,
             long answeredAgoMillis,
-            long failedAgoMillis) {
+            long outageAgoMillis) {
         /**
          * Returns whether the update contains the whole list. The changes since revision 0, at which there were no objects,
          * are all objects that exist.
@@ -155,8 +161,13 @@
     private boolean relistRequested;
     private long notBeforeMillis;
     private long backoffMillis;
-    private long failedAtMillis = Long.MIN_VALUE / 2;
+    private long failingSinceMillis;
+    private long outageEndedAtMillis = Long.MIN_VALUE / 2;
     private long answeredAtMillis = Long.MIN_VALUE / 2;
+
+    /** When the store last answered this view or one that sent an update. */
+    private long lastAnswerAtMillis = Long.MIN_VALUE / 2;
+
     private long coveredUntilMillis = Long.MIN_VALUE / 2;
     private boolean missingChanges;
     private boolean lastCallFailed;
@@ -182,12 +193,26 @@
         return everSynced;
     }
 
+    /** Returns whether calls to the store fail at present, as far as this view knows. */
+    public boolean failing() {
+        return failing;
+    }
+
     /**
-     * Returns whether the store is failing, or a call of this view or of a view that sent an update failed within the
-     * last {@code millis} milliseconds.
+     * Returns whether there was an outage of the store within the last {@code millis} milliseconds, as seen by this view or by
+     * one that sent an update. Shorter failures are no outages, but the time in which calls fail does not count.
      */
-    public boolean failedWithin(long millis) {
-        return failing || nowMillis - failedAtMillis < millis;
+    public boolean hadOutageWithin(long millis) {
+        return outageAgoMillis() < millis;
+    }
+
+    private long outageAgoMillis() {
+        if (!failing) {
+            return nowMillis - outageEndedAtMillis;
+        }
+        boolean outage =
+                nowMillis - lastAnswerAtMillis >= pace.minOutageMillis().getAsLong();
+        return outage ? 0 : Math.max(0, failingSinceMillis - outageEndedAtMillis);
     }
 
     /** Returns whether the last call of this view itself failed, regardless of updates from other routers since. */
@@ -225,8 +250,7 @@
      * @param changes the changes between that revision and the revision of this view
      */
     public Update updateSince(long fromRevision, List<ObjectKinds.Change> changes) {
-        return new Update(
-                viewEra, fromRevision, revision, changes, nowMillis - answeredAtMillis, nowMillis - failedAtMillis);
+        return new Update(viewEra, fromRevision, revision, changes, nowMillis - answeredAtMillis, outageAgoMillis());
     }
 
     /**
@@ -263,13 +287,14 @@
         if (update.era() != storeEra.current()) {
             return;
         }
-        failedAtMillis = Math.max(failedAtMillis, nowMillis - update.failedAgoMillis());
+        outageEndedAtMillis = Math.max(outageEndedAtMillis, nowMillis - update.outageAgoMillis());
         long untilMillis = nowMillis + validityMillis - update.answeredAgoMillis();
         if (untilMillis <= nowMillis) {
             return;
         }
         coveredUntilMillis = Math.max(coveredUntilMillis, untilMillis);
         markRecovered();
+        lastAnswerAtMillis = Math.max(lastAnswerAtMillis, nowMillis - update.answeredAgoMillis());
         if (!synced || viewEra != update.era() || update.revision() <= revision) {
             return;
         }
@@ -355,7 +380,7 @@
         missingChanges = false;
         notBeforeMillis = nowMillis;
         // Entries of the copy may be missing until their writers have written them again.
-        failedAtMillis = nowMillis;
+        outageEndedAtMillis = nowMillis;
         listener.onStoreRestored();
         restartList();
         restartedAtRevision = 0;
@@ -517,12 +542,13 @@
         answeredAtMillis = nowMillis;
         lastCallFailed = false;
         markRecovered();
+        lastAnswerAtMillis = nowMillis;
     }
 
     private void markRecovered() {
         if (failing) {
+            outageEndedAtMillis = nowMillis - outageAgoMillis();
             failing = false;
-            failedAtMillis = nowMillis;
             log.dependency("store", true).with("kind", kind).write();
         }
     }
@@ -530,11 +556,11 @@
     private void onFailed(Failure failure) {
         boolean historyLost = failure.kind() == ErrorKind.CONFLICT;
         if (!historyLost) {
-            failedAtMillis = nowMillis;
             lastCallFailed = true;
         }
         if (!failing && !historyLost) {
             failing = true;
+            failingSinceMillis = nowMillis;
             log.dependency("store", false)
                     .with("kind", kind)
                     .with("reason", failure.message())
--- a/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
+++ b/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
@@ -19,10 +19,10 @@
 
     private static final class Harness {
         private final TargetTable table = new TargetTable();
-        private boolean storeFailedRecently;
+        private boolean storeOutageRecently;
         private long nowMillis;
         private final TargetDirectory directory = new TargetDirectory(
-                table, millis -> storeFailedRecently, () -> nowMillis, EventLog.silent(), ended -> {});
+                table, millis -> storeOutageRecently, () -> nowMillis, EventLog.silent(), ended -> {});
 
         private void putEntry(boolean draining) {
             directory.onPresent("t", new TargetEntry("", "s", new Address("10.0.0.1", 80), "a", 6, draining, 1));
@@ -148,11 +148,11 @@
     public void aTargetWhoseEntryLapsedInAnOutageIsKeptUntilTheEntryShouldReappear() {
         Harness harness = new Harness();
         harness.putEntry(false);
-        harness.storeFailedRecently = true;
+        harness.storeOutageRecently = true;
         harness.directory.onAbsent("t");
         harness.directory.tick();
         assertEquals(harness.usableTargets(), 1, "the entry may reappear within two seconds");
-        harness.storeFailedRecently = false;
+        harness.storeOutageRecently = false;
         harness.directory.tick();
         assertEquals(harness.usableTargets(), 0, "the entry did not reappear");
     }
@@ -161,10 +161,10 @@
     public void aTargetWhoseEntryReappearsIsKept() {
         Harness harness = new Harness();
         harness.putEntry(false);
-        harness.storeFailedRecently = true;
+        harness.storeOutageRecently = true;
         harness.directory.onAbsent("t");
         harness.putEntry(false);
-        harness.storeFailedRecently = false;
+        harness.storeOutageRecently = false;
         harness.directory.tick();
         assertEquals(harness.usableTargets(), 1);
     }
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -194,7 +194,7 @@
                             new Address(host(), 80),
                             new Address(host(), 81),
                             List.of(7_200),
-                            new VmSettings.Bounds(8_000, 3_000, 3_000, 4_000, 0.2, 10_000, 200, 5_000),
+                            new VmSettings.Bounds(8_000, 3_000, 3_000, 4_000, 0.2, 10_000, 200, 5_000, 1_200),
                             new VmSettings.Store(
                                     new Address("10.9.9.9", 80),
                                     STORE_WRITES_PER_SECOND,
@@ -340,6 +340,13 @@
                     () -> fail(timeoutMicros, reply));
             if (!answerIfChanged(pending)) {
                 pendingWatches.add(pending);
+                if (cutWatchesAfterMillis < waitMillis) {
+                    scheduleAt(nowMicros + cutWatchesAfterMillis * MICROS_PER_MILLI, () -> {
+                        if (pendingWatches.remove(pending)) {
+                            fail(nowMicros + STORE_LATENCY_MICROS, reply);
+                        }
+                    });
+                }
                 scheduleAt(nowMicros + waitMillis * MICROS_PER_MILLI, () -> {
                     if (pendingWatches.remove(pending)) {
                         pending.reply().accept(Either.right(new Changes(List.of(), revision)));
@@ -414,6 +421,7 @@
     private String serviceFields = "";
     private boolean storeRefuses;
     private String refusedKind = "none";
+    private long cutWatchesAfterMillis = Long.MAX_VALUE;
     private double lostFraction;
     private long served;
     private long revision = 1;
@@ -521,6 +529,11 @@
         storeRefuses = true;
     }
 
+    /** Cuts off each further watch that has waited so long without an answer, as a proxy with a short idle time-out does. */
+    void cutWatchesAfter(long millis) {
+        cutWatchesAfterMillis = millis;
+    }
+
     /** Makes the store immediately refuse all further calls for one kind of object. */
     void refuseKind(String kind) {
         refusedKind = kind;
@@ -976,6 +989,16 @@
         writeTarget("target", "10.1.1.1:80", "draining");
     }
 
+    /** Removes the entry of the target from the store. */
+    void removeTarget() {
+        change(TargetCodec.KIND, new ObjectKinds.Change(new ObjectKinds.Entry("target", Json.object()), true));
+    }
+
+    /** Writes the entry of the target again. */
+    void restoreTarget() {
+        writeTarget("target", "10.1.1.1:80", "ready");
+    }
+
     /** Adds targets in addition to the first one and returns the names of the added ones. */
     List<String> addTargets(int count) {
         List<String> names = new ArrayList<>();
--- a/src/test/java/org/radishspan/front/PlacesFleetTest.java
+++ b/src/test/java/org/radishspan/front/PlacesFleetTest.java
@@ -279,7 +279,7 @@
     public static class Intervals {
         private static KindFeed.Pace pace(long drainMillis, long evacuationMillis, boolean places) {
             return KindFeed.Pace.of(
-                    new VmSettings.Bounds(8_000, drainMillis, 30_000, 3_000, 0.2, 10_000, 0, evacuationMillis),
+                    new VmSettings.Bounds(8_000, drainMillis, 30_000, 3_000, 0.2, 10_000, 0, evacuationMillis, 1_200),
                     new VmSettings.Features(places, false));
         }
 
--- a/src/test/java/org/radishspan/platform/CodecsTest.java
+++ b/src/test/java/org/radishspan/platform/CodecsTest.java
@@ -44,7 +44,7 @@
         private static final String TEXT = """
                 {'node_name': 'front-1', 'ip': '10.1.0.19', 'zone': 'a', 'zones': {'a': 'r', 'b': 'r'},
                  'bind': {'front': '10.1.0.19:8740', 'ready': '10.1.0.19:8749'}, 'port_range': [7200, 7215],
-                 'limits': {'memory_mb': 430, 'max_fds': 4200}, 'unknown': {'x': 1},
+                 'heartbeat_ms': 900, 'limits': {'memory_mb': 430, 'max_fds': 4200}, 'unknown': {'x': 1},
                  'bounds': {'grace_s': 8, 'drain_ms': 2000, 'contact_ms': 3000, 'retry_ratio': 0.2,
                             'retry_window_s': 10, 'retry_slack': 52},
                  'platform': {'address': '10.200.1.7:8742', 'form': 'objects', 'writes_per_s': 400,
@@ -63,6 +63,7 @@
             assertEquals(settings.peerPorts().get(0).intValue(), 7200);
             assertEquals(settings.bounds().stopGraceMillis(), 8_000);
             assertEquals(settings.bounds().retrySlack(), 52);
+            assertEquals(settings.bounds().targetCheckInMillis(), 900);
             assertEquals(settings.store().fleetWritesPerSecond(), 400);
         }
 
@@ -121,7 +122,7 @@
             return new Object[][] {
                 {"'grace_s': 8"}, {"'drain_ms': 2000"}, {"'contact_ms': 3000"}, {"'retry_ratio': 0.2"},
                 {"'retry_window_s': 10"}, {"'retry_slack': 52"}, {"'memory_mb': 430"}, {"'max_fds': 4200"},
-                {"'writes_per_s': 400"}, {"'reads_per_s': 2000"}, {"'value_bytes': 1048576"}
+                {"'writes_per_s': 400"}, {"'reads_per_s': 2000"}, {"'value_bytes': 1048576"}, {"'heartbeat_ms': 900"}
             };
         }
 
--- a/src/test/java/org/radishspan/store/KindWatchTest.java
+++ b/src/test/java/org/radishspan/store/KindWatchTest.java
@@ -18,6 +18,7 @@
 import org.radishspan.error.Failure;
 import org.radishspan.http.Json;
 import org.radishspan.log.EventLog;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -65,6 +66,7 @@
         private final List<String> repeated = new ArrayList<>();
         private long nowMillis;
         private long pauseMillis;
+        private long minOutageMillis;
         private final KindWatch<String> watch = new KindWatch<>(
                 "kind",
                 new KindWatch.Ports(store, storeEra, RandomSource.XO_SHI_RO_256_PP.create(1), EventLog.silent()),
@@ -85,7 +87,7 @@
                         repeated.add(name);
                     }
                 },
-                new KindWatch.Pace(() -> 2_000, () -> pauseMillis, () -> 400));
+                new KindWatch.Pace(() -> 2_000, () -> pauseMillis, () -> 400, () -> minOutageMillis));
 
         private void tick(long millis) {
             nowMillis += millis;
@@ -327,7 +329,7 @@
             harness.store.watches.remove().accept(Either.left(DOWN));
             sendUpdate(harness, 10, 12, 0);
             assertTrue(harness.watch.lastCallFailed());
-            assertFalse(harness.watch.failedWithin(0), "the update makes the view current");
+            assertFalse(harness.watch.failing(), "the update makes the view current");
             harness.tick(400);
             assertEquals(harness.store.calls.peekLast(), "watch 12", "the view keeps calling the store");
             harness.changes(12);
@@ -343,8 +345,8 @@
                     new KindWatch.Update(StoreEra.UNKNOWN, 10, 10, List.of(), 0, 300),
                     VALIDITY_MILLIS,
                     harness.nowMillis);
-            assertTrue(harness.watch.failedWithin(1_000));
-            assertFalse(harness.watch.failedWithin(200));
+            assertTrue(harness.watch.hadOutageWithin(1_000));
+            assertFalse(harness.watch.hadOutageWithin(200));
         }
     }
 
@@ -434,7 +436,107 @@
             harness.storeEra.onAnswer(3);
             harness.tick(1);
             harness.page(true, 7, entry("a", "1"));
-            assertTrue(harness.watch.failedWithin(1_000), "entries may be missing until they are written again");
+            assertTrue(harness.watch.hadOutageWithin(1_000), "entries may be missing until they are written again");
+        }
+    }
+
+    /** Tests which failures of calls count as outages of the store. */
+    public static class Outages {
+        private static final long MIN_OUTAGE_MILLIS = 2_400;
+        private static final long RESTORED_MILLIS = 2_200;
+
+        private static Harness listedWithMinOutage() {
+            Harness harness = listed();
+            harness.minOutageMillis = MIN_OUTAGE_MILLIS;
+            return harness;
+        }
+
+        /** Cuts off the watch after it has waited, and answers the next one. */
+        private static void cutOffAndAnswer(Harness harness, long waitedMillis) {
+            harness.tick(waitedMillis);
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            harness.tick(60);
+            harness.changes(harness.watch.revision() + 1);
+        }
+
+        @DataProvider
+        public Object[][] waits() {
+            return new Object[][] {{1}, {200}, {800}, {2_000}};
+        }
+
+        /** Guards against targets that stayed in use after their entries were removed, while watches were cut off (review/13). */
+        @Test(dataProvider = "waits")
+        public void areNotConcludedFromWatchesThatAreCutOff(long waitedMillis) {
+            Harness harness = listedWithMinOutage();
+            for (int i = 0; i < 5; i++) {
+                cutOffAndAnswer(harness, waitedMillis);
+                assertFalse(harness.watch.failing());
+                assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS), "after cut " + i);
+            }
+        }
+
+        @Test
+        public void areConcludedFromCallsThatFailForLong() {
+            Harness harness = listedWithMinOutage();
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            harness.tick(MIN_OUTAGE_MILLIS);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS), "the store has not answered for so long");
+            harness.changes(11);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+            harness.tick(RESTORED_MILLIS - 2);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+            harness.tick(2);
+            assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+        }
+
+        /** A store that stalls answers nothing until it returns, and may then cut off the watches that waited. */
+        @Test
+        public void areConcludedFromAWatchThatIsCutOffAfterALongSilence() {
+            Harness harness = listedWithMinOutage();
+            cutOffAndAnswer(harness, MIN_OUTAGE_MILLIS);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+        }
+
+        /** Guards against a wait for missing entries that each further cut of a watch began anew. */
+        @Test
+        public void areNotProlongedByWatchesThatAreCutOff() {
+            Harness harness = listedWithMinOutage();
+            cutOffAndAnswer(harness, MIN_OUTAGE_MILLIS);
+            for (int i = 0; i < 4; i++) {
+                cutOffAndAnswer(harness, 600);
+            }
+            assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+        }
+
+        /** Entries cannot reappear while the store is away. */
+        @Test
+        public void areProlongedByTheTimeInWhichCallsFail() {
+            Harness harness = listedWithMinOutage();
+            cutOffAndAnswer(harness, MIN_OUTAGE_MILLIS);
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            harness.tick(2_000);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+            harness.changes(20);
+            harness.tick(RESTORED_MILLIS - 10);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS), "the calls failed for 2 s of the time since");
+            harness.tick(20);
+            assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+        }
+
+        /** A view that another router has updated for a long time has sent no calls itself. */
+        @Test
+        public void areNotConcludedWhileAnotherRouterIsAnswered() {
+            Harness harness = listedWithMinOutage();
+            for (int i = 0; i < 10; i++) {
+                harness.tick(500);
+                harness.watch.onUpdate(
+                        new KindWatch.Update(StoreEra.UNKNOWN, 10, 10, List.of(), 100, 1_000_000),
+                        1_000,
+                        harness.nowMillis);
+            }
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            assertTrue(harness.watch.failing());
+            assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
         }
     }
 
@@ -484,13 +586,13 @@
         public void continueFromTheSameRevisionAfterAnOutage() {
             Harness harness = listed();
             harness.store.watches.remove().accept(Either.left(DOWN));
-            assertTrue(harness.watch.failedWithin(1_000));
+            assertTrue(harness.watch.hadOutageWithin(1_000));
             harness.tick(1_000);
             assertEquals(harness.store.calls.peekLast(), "watch 10");
             harness.changes(11);
-            assertTrue(harness.watch.failedWithin(1_000), "less than a second has passed since the store recovered");
+            assertTrue(harness.watch.hadOutageWithin(1_000), "less than a second has passed since the store recovered");
             harness.tick(1_000);
-            assertFalse(harness.watch.failedWithin(1_000));
+            assertFalse(harness.watch.hadOutageWithin(1_000));
         }
 
         @Test
@@ -501,7 +603,7 @@
             assertEquals(harness.store.calls.peekLast(), "list ");
             harness.page(true, 20, entry("b", "5"));
             assertEquals(harness.view, Map.of("b", "5"), "an entry that the list does not contain is removed");
-            assertFalse(harness.watch.failedWithin(1_000), "a lost history does not count as a failure");
+            assertFalse(harness.watch.hadOutageWithin(1_000), "a lost history does not count as a failure");
         }
     }
 }
