Limit the head of a request as a whole, not its first line by a constant

Cause: HttpServer gave the decoder a constant limit for the request line, and max_header_bytes for the header lines alone. Too long a line was reported as invalid; a head could exceed max_header_bytes by its first line and the ends of its lines.

Evidence: queries of 3,000 bytes were served, those of 6,000 bytes refused; header lines of 16,384 bytes were accepted.

Change: RequestDecoder counts the bytes of each head. Up to max_header_bytes it is accepted whatever it consists of; one byte more is refused with 431, as soon as it arrives, and nothing after it is decoded. ServerCodec joins it with the encoder, which omits bodies for HEAD as the library's codec does. Memory: a connection holds 4,096 bytes less of an unfinished head than before.

--- a/src/main/java/org/radishspan/http/HttpServer.java
+++ b/src/main/java/org/radishspan/http/HttpServer.java
@@ -30,11 +30,11 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import org.jspecify.annotations.Nullable;
 import org.radishspan.error.ErrorKind;
@@ -60,7 +60,7 @@
     /**
      * Limits on the size of requests and on the time that callers may take.
      *
-     * @param maxHeaderBytes the maximum size of a request head
+     * @param maxHeaderBytes the maximum size of a request head: the request line and all header lines with their ends
      * @param maxBodyBytes the maximum size of a request body
      * @param headerTimeoutMillis the maximum time from the first byte of a request head to its end
      * @param idleTimeoutMillis the maximum time that a connection may be open without a request
@@ -83,7 +83,6 @@
     private static final long BODY_MEMORY_RETRY_MILLIS = 1_000;
 
     private static final int MAX_PIPELINED_CALLS = 16;
-    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
     private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int BACKLOG = 1_024;
     private static final long TIMEOUT_CHECK_MILLIS = 500;
@@ -111,8 +110,7 @@
                         Connection connection = new Connection(current, handler);
                         child.pipeline()
                                 .addLast(new ReceiveNotifier(connection))
-                                .addLast(new HttpServerCodec(
-                                        MAX_INITIAL_LINE_BYTES, current.maxHeaderBytes(), MAX_CHUNK_BYTES))
+                                .addLast(new ServerCodec(current.maxHeaderBytes(), MAX_CHUNK_BYTES))
                                 .addLast(connection);
                     }
                 });
@@ -253,11 +251,13 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             if (message.decoderResult().isFailure()) {
-                boolean headTooLong = message.decoderResult().cause() instanceof TooLongHttpHeaderException;
+                boolean headTooLong = isHeadTooLong(message);
                 refuse(
                         context,
                         headTooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.INVALID_REQUEST,
-                        headTooLong ? "the request head is too long" : "the request is not valid HTTP");
+                        headTooLong
+                                ? "the request head is longer than " + limits.maxHeaderBytes() + " bytes"
+                                : "the request is not valid HTTP");
                 return;
             }
             if (message instanceof HttpRequest head) {
@@ -271,6 +271,13 @@
             }
         }
 
+        private static boolean isHeadTooLong(HttpObject message) {
+            Throwable cause = message.decoderResult().cause();
+            // Outside a head, a line that is too long begins a chunk.
+            boolean requestLineTooLong = message instanceof HttpRequest && cause instanceof TooLongHttpLineException;
+            return requestLineTooLong || cause instanceof TooLongHttpHeaderException;
+        }
+
         private void begin(ChannelHandlerContext context, HttpRequest head) {
             request = head;
             headStarted = false;
