Do not report the store as lost when a single watch is cut off

In a simulated fleet of 24 routers the one that watches for its failure domain left that duty 360 ms after the first cut.

Cause: FrontRouter.storeUnreachable took the last failed call of the target watch for the loss of the store.

Change: KindWatch.storeUnreachable. A watch that ends before its wait time is over proves nothing; the next call, at most 50 ms later, decides. A watch that is not answered in time, a list and a second failure count at once, as before.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -496,7 +496,7 @@
     }
 
     private boolean storeUnreachable() {
-        return targetWatch.lastCallFailed()
+        return targetWatch.storeUnreachable()
                 || ledgers.all().stream().anyMatch(ledger -> ledger.lastCallFailed() || ledger.callOverdue());
     }
 
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -171,6 +171,8 @@
     private long coveredUntilMillis = Long.MIN_VALUE / 2;
     private boolean missingChanges;
     private boolean lastCallFailed;
+    private boolean watchCutOff;
+    private long watchDueAtMillis;
     private boolean failing;
     private Forwarder forwarder = NO_FORWARDER;
     private long nowMillis;
@@ -220,6 +222,14 @@
         return lastCallFailed;
     }
 
+    /**
+     * Returns whether this view cannot reach the store, regardless of updates from other routers. A watch that ends before its
+     * wait time is over may have been cut off while the store is available, so that the next call decides.
+     */
+    public boolean storeUnreachable() {
+        return lastCallFailed && !watchCutOff;
+    }
+
     /** Requests that the whole list is read again, for example because a change is known that this view lacks. */
     public void relist() {
         relistRequested = true;
@@ -406,6 +416,7 @@
             long waitMillis = missingChanges || lastCallFailed
                     ? CATCH_UP_WAIT_MILLIS
                     : pace.waitMillis().getAsLong();
+            watchDueAtMillis = nowMillis + waitMillis;
             store.watch(kind, revision, waitMillis, reply -> {
                 if (isExpected(number)) {
                     onWatchReply(reply);
@@ -439,6 +450,7 @@
     private void onPage(Either<Failure, ObjectKinds.Page> reply) {
         inFlight = false;
         if (reply.isLeft()) {
+            watchCutOff = false;
             onFailed(reply.getLeft());
             return;
         }
@@ -488,6 +500,7 @@
                         .write();
                 restartList();
             }
+            watchCutOff = !lastCallFailed && nowMillis < watchDueAtMillis;
             onFailed(reply.getLeft());
             return;
         }
--- a/src/test/java/org/radishspan/front/TargetEntriesFleetTest.java
+++ b/src/test/java/org/radishspan/front/TargetEntriesFleetTest.java
@@ -68,6 +68,21 @@
         }
     }
 
+    /** The routers that watch the store on behalf of their failure domains. */
+    public static class Watchers {
+        /** Guards against a watcher that gave up its duty at each cut, as it reported that it had lost the store. */
+        @Test
+        public void keepTheirDutyWhileTheirWatchesAreCutOff() {
+            FrontFleet fleet = fleet(MANY_ROUTERS);
+            Set<Integer> watchers = fleet.watchingRouters();
+            fleet.cutWatchesAfter(300);
+            for (long elapsedMillis = 0; elapsedMillis < 8_000; elapsedMillis += 20) {
+                fleet.advance(20);
+                assertEquals(fleet.watchingRouters(), watchers, elapsedMillis + " ms after the first cut");
+            }
+        }
+    }
+
     /** Outages of the store, in which entries of live targets lapse. */
     public static class Outages {
         private static final long OUTAGE_MILLIS = 9_000;
--- a/src/test/java/org/radishspan/store/KindWatchTest.java
+++ b/src/test/java/org/radishspan/store/KindWatchTest.java
@@ -523,6 +523,38 @@
             assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
         }
 
+        /** Guards against routers that reported the loss of the store, and left their duties, at each cut of a watch. */
+        @Test
+        public void areNotReportedByARouterWhoseWatchIsCutOffOnce() {
+            Harness harness = listedWithMinOutage();
+            harness.tick(800);
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            assertTrue(harness.watch.lastCallFailed());
+            assertFalse(harness.watch.storeUnreachable());
+            harness.tick(60);
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            assertTrue(harness.watch.storeUnreachable(), "the next call failed too");
+            harness.tick(120);
+            harness.changes(11);
+            assertFalse(harness.watch.storeUnreachable());
+        }
+
+        @Test
+        public void areReportedByARouterWhoseWatchIsNotAnsweredInTime() {
+            Harness harness = listedWithMinOutage();
+            harness.tick(2_600);
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            assertTrue(harness.watch.storeUnreachable());
+        }
+
+        @Test
+        public void areReportedByARouterWhoseListFails() {
+            Harness harness = new Harness();
+            harness.tick(1);
+            harness.store.lists.remove().accept(Either.left(DOWN));
+            assertTrue(harness.watch.storeUnreachable());
+        }
+
         /** A view that another router has updated for a long time has sent no calls itself. */
         @Test
         public void areNotConcludedWhileAnotherRouterIsAnswered() {
