Count calls that fail for a second as an outage of the store

Change: besides a silence of two check-in intervals, calls that fail for a second count as an outage, as all failed calls did before.

Tests: KindWatchTest.Outages.areConcludedFromCallsThatFailForASecond; TargetEntriesFleetTest passes as before.

--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -72,8 +72,8 @@
      * @param pauseMillis the pause after a watch call that returned changes; it collects further changes for the next
      *     call, because otherwise each change would cost one call by every router
      * @param maxBackoffMillis the maximum back-off after a failed call; the average is half of it
-     * @param minOutageMillis how long the store must have left all calls unanswered for a failure to count as an outage. A watch
-     *     that waits may be cut off while the store is available, so that one failed call is no evidence of an outage.
+     * @param minOutageMillis how long the store must have left all calls unanswered for one failed call to count as an outage.
+     *     A watch that waits may be cut off while the store is available.
      */
     public record Pace(
             LongSupplier waitMillis,
@@ -128,6 +128,9 @@
     /** A watch call that fetches missing changes or tests the store does not wait for further changes. */
     private static final long CATCH_UP_WAIT_MILLIS = 1;
 
+    /** Calls that fail for so long show an outage in any case, as calls of others may have failed before. */
+    private static final long MIN_FAILING_MILLIS = 1_000;
+
     // With random delays, this spreads the calls of many routers after an outage of the store.
     private static final long INITIAL_BACKOFF_MILLIS = 50;
 
@@ -212,8 +215,8 @@
         if (!failing) {
             return nowMillis - outageEndedAtMillis;
         }
-        boolean outage =
-                nowMillis - lastAnswerAtMillis >= pace.minOutageMillis().getAsLong();
+        boolean outage = nowMillis - failingSinceMillis >= MIN_FAILING_MILLIS
+                || nowMillis - lastAnswerAtMillis >= pace.minOutageMillis().getAsLong();
         return outage ? 0 : Math.max(0, failingSinceMillis - outageEndedAtMillis);
     }
 
--- a/src/test/java/org/radishspan/store/KindWatchTest.java
+++ b/src/test/java/org/radishspan/store/KindWatchTest.java
@@ -489,6 +489,18 @@
             assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
         }
 
+        @Test
+        public void areConcludedFromCallsThatFailForASecond() {
+            Harness harness = listedWithMinOutage();
+            harness.store.watches.remove().accept(Either.left(DOWN));
+            harness.tick(980);
+            assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+            harness.tick(20);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+            harness.changes(11);
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS));
+        }
+
         /** A store that stalls answers nothing until it returns, and may then cut off the watches that waited. */
         @Test
         public void areConcludedFromAWatchThatIsCutOffAfterALongSilence() {
@@ -514,11 +526,11 @@
             Harness harness = listedWithMinOutage();
             cutOffAndAnswer(harness, MIN_OUTAGE_MILLIS);
             harness.store.watches.remove().accept(Either.left(DOWN));
-            harness.tick(2_000);
+            harness.tick(900);
             assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS));
             harness.changes(20);
             harness.tick(RESTORED_MILLIS - 10);
-            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS), "the calls failed for 2 s of the time since");
+            assertTrue(harness.watch.hadOutageWithin(RESTORED_MILLIS), "the calls failed for 0.9 s of the time since");
             harness.tick(20);
             assertFalse(harness.watch.hadOutageWithin(RESTORED_MILLIS));
         }
