--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -795,8 +795,8 @@
         }
 
         /**
-         * Handles an answer whose status tells callers that the request did not run, although the target does not report that.
-         * It is not relayed: its caller would repeat a request that may have run.
+         * Handles an answer whose status means to callers that the request did not run, although the target does not report
+         * that. It is not relayed, as the caller would repeat a request that may have run.
          */
         private void handleUnfoundedStatus(Attempt attempt, TargetProtocol.AnswerHead head) {
             RelayRequest request = attempt.request;
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -89,7 +89,7 @@
      * @param revision the revision up to which the other view is complete
      * @param changes the changes between the two revisions, in order
      * @param answeredAgoMillis the time since the store last answered the other view, in milliseconds
-     * @param outageAgoMillis the time since the last outage of the store that the other view knows of, in milliseconds
+     * @param outageAgoMillis the time since the last outage of the store that the other view observed, in milliseconds
      */
     public record Update(
             long era,
@@ -198,7 +198,7 @@
         return everSynced;
     }
 
-    /** Returns whether calls to the store fail at present, as far as this view knows. */
+    /** Returns whether the store is failing: no call has been answered since the last failed call of this view. */
     public boolean failing() {
         return failing;
     }
@@ -306,8 +306,7 @@
             return;
         }
         coveredUntilMillis = Math.max(coveredUntilMillis, untilMillis);
-        markRecovered();
-        lastAnswerAtMillis = Math.max(lastAnswerAtMillis, nowMillis - update.answeredAgoMillis());
+        recordAnswer(nowMillis - update.answeredAgoMillis());
         if (!synced || viewEra != update.era() || update.revision() <= revision) {
             return;
         }
@@ -557,16 +556,17 @@
         backoffMillis = 0;
         answeredAtMillis = nowMillis;
         lastCallFailed = false;
-        markRecovered();
-        lastAnswerAtMillis = nowMillis;
+        recordAnswer(nowMillis);
     }
 
-    private void markRecovered() {
+    /** Ends a failure of the store, whose length depends on the previous answer, and records the time of this answer. */
+    private void recordAnswer(long atMillis) {
         if (failing) {
             outageEndedAtMillis = nowMillis - outageAgoMillis();
             failing = false;
             log.dependency("store", true).with("kind", kind).write();
         }
+        lastAnswerAtMillis = Math.max(lastAnswerAtMillis, atMillis);
     }
 
     private void onFailed(Failure failure) {
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -452,7 +452,7 @@
             weights[i] /= totalWeight;
         }
         configure(1);
-        writeTarget("target", "10.1.1.1:80", "ready");
+        registerTarget();
         for (int i = 0; i < layout.routers(); i++) {
             Node node = new Node(i);
             nodes.add(node);
@@ -994,8 +994,8 @@
         change(TargetCodec.KIND, new ObjectKinds.Change(new ObjectKinds.Entry("target", Json.object()), true));
     }
 
-    /** Writes the entry of the target again. */
-    void restoreTarget() {
+    /** Writes the entry of the target, ready for requests. */
+    void registerTarget() {
         writeTarget("target", "10.1.1.1:80", "ready");
     }
 
--- a/src/test/java/org/radishspan/front/TargetEntriesFleetTest.java
+++ b/src/test/java/org/radishspan/front/TargetEntriesFleetTest.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.testng.annotations.DataProvider;
@@ -33,10 +32,6 @@
         return IntStream.range(0, routers).boxed().toList();
     }
 
-    private static Set<Integer> all(int routers) {
-        return IntStream.range(0, routers).boxed().collect(Collectors.toSet());
-    }
-
     /** Watches that are cut off while the store is available. */
     public static class CutWatches {
         @DataProvider
@@ -97,7 +92,7 @@
 
         private static FrontFleet fleetWhoseTargetLapsed(int routers, long cutMillis) {
             FrontFleet fleet = fleet(routers);
-            fleet.makeStoreSilentFor(all(routers));
+            fleet.makeStoreSilentFor(Set.copyOf(numbers(routers)));
             fleet.advance(OUTAGE_MILLIS / 2);
             fleet.removeTarget();
             fleet.advance(OUTAGE_MILLIS / 2);
@@ -113,7 +108,7 @@
                 fleet.advance(20);
                 assertEquals(fleet.routersUsingTheTarget(), numbers(routers), elapsedMillis + " ms after the outage");
             }
-            fleet.restoreTarget();
+            fleet.registerTarget();
             fleet.advance(DRAIN_MILLIS);
             assertEquals(fleet.routersUsingTheTarget(), numbers(routers));
         }
--- a/src/test/java/org/radishspan/http/RequestHeadTest.java
+++ b/src/test/java/org/radishspan/http/RequestHeadTest.java
@@ -13,7 +13,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.testng.annotations.AfterClass;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -36,7 +35,7 @@
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> handled = new CopyOnWriteArrayList<>();
-    private HttpServer server = start();
+    private final HttpServer server = start();
 
     private HttpServer start() {
         HttpServer.Limits limits = new HttpServer.Limits(MAX_HEAD_BYTES, MAX_BODY_BYTES, 3_000, 15_000);
@@ -51,12 +50,6 @@
         handled.clear();
     }
 
-    @AfterMethod
-    public void restart() {
-        server.stop();
-        server = start();
-    }
-
     @AfterClass
     public void stop() {
         server.stop();
