Log the room for waiting requests and the router that commits a ledger

Change: while requests wait, one line a second says how many targets had a free slot by their last reports and how many of these the router may use (queue_room). ledger_used names the router that commits for others. No decision changes.

The test stays.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -274,7 +274,7 @@
                 COMMIT_GAP_MILLIS,
                 () -> feed().fleetBackoffMillis());
         this.ledgers = new LedgerPartitions(LEDGER_PARTITIONS, objectPorts);
-        this.ledgerReport = new LedgerReport(ledgers, ports.log());
+        this.ledgerReport = new LedgerReport(ledgers, partition -> peers().table().combinerOf(partition), ports.log());
         this.peers = new PeerSystem(
                 new PeerSystem.Self(self.vm(), self.incarnation(), self.failureDomain()),
                 ports.peerLink(),
--- a/src/main/java/org/radishspan/front/LedgerReport.java
+++ b/src/main/java/org/radishspan/front/LedgerReport.java
@@ -1,5 +1,7 @@
 package org.radishspan.front;
 
+import java.util.function.IntFunction;
+
 import org.radishspan.budget.Accounts;
 import org.radishspan.budget.LedgerBook;
 import org.radishspan.budget.LedgerPartitions;
@@ -16,12 +18,19 @@
     private static final long REPORT_MILLIS = 5_000;
 
     private final LedgerPartitions ledgers;
+    private final IntFunction<String> combinerOf;
     private final EventLog log;
     private final long[] reportedCalls;
     private long nextReportAtMillis;
 
-    LedgerReport(LedgerPartitions ledgers, EventLog log) {
+    /**
+     * Creates the reports.
+     *
+     * @param combinerOf returns the VM that commits the changes of a ledger; empty text for this router
+     */
+    LedgerReport(LedgerPartitions ledgers, IntFunction<String> combinerOf, EventLog log) {
         this.ledgers = ledgers;
+        this.combinerOf = combinerOf;
         this.log = log;
         this.reportedCalls = new long[ledgers.all().size()];
     }
@@ -45,6 +54,7 @@
         reportedCalls[partition] = calls;
         log.belief("ledger_used")
                 .with("ledger", ledger.key())
+                .with("combiner", combinerOf.apply(partition))
                 .with("reads", counters.reads())
                 .with("writes", counters.writes())
                 .with("conflicts", counters.conflicts())
--- a/src/main/java/org/radishspan/relay/AdmissionQueue.java
+++ b/src/main/java/org/radishspan/relay/AdmissionQueue.java
@@ -8,6 +8,7 @@
 import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.routing.Placement;
+import org.radishspan.routing.TargetTable;
 
 /**
  * Holds the requests of a {@link RelaySystem} for which no target has room, and sends or refuses them as {@link RequestQueue}
@@ -37,6 +38,9 @@
     /** Minimum time between two checks for requests that can no longer meet their deadlines, the shortest of which is 1.5 s. */
     private static final long HOPELESS_CHECK_MILLIS = 100;
 
+    /** Interval between two log lines about the room for the waiting requests of a service. */
+    private static final long ROOM_LOG_MILLIS = 1_000;
+
     /** What a request without a prompt counts in fair queueing and in the drain rate: as much as a short question. */
     private static final long PLAIN_CALL_TOKENS = FairShares.QUANTUM_TOKENS;
 
@@ -58,6 +62,7 @@
     private final Map<RelayRequest, QueuedRequest<RelayRequest>> entries = new IdentityHashMap<>();
     private long tickedAtMillis;
     private long checkedAtMillis;
+    private long roomLoggedAtMillis;
     private boolean stalled;
     private boolean draining;
 
@@ -228,12 +233,34 @@
         stalled = nowMillis - tickedAtMillis > STALL_MILLIS;
         tickedAtMillis = nowMillis;
         drain();
+        logRoom(nowMillis);
         if (!stalled && nowMillis - checkedAtMillis >= HOPELESS_CHECK_MILLIS) {
             checkedAtMillis = nowMillis;
             queue.removeHopeless(nowMillis).forEach(refusal -> refuse(refusal, nowMillis));
         }
     }
 
+    /** Logs, while requests wait, how many targets have room and how many of these this router may use. */
+    private void logRoom(long nowMillis) {
+        if (nowMillis - roomLoggedAtMillis < ROOM_LOG_MILLIS) {
+            return;
+        }
+        roomLoggedAtMillis = nowMillis;
+        queue.waitingByService().forEach((service, waiting) -> {
+            TargetTable.Room room = ports.targets().room(service, nowMillis);
+            ports.log()
+                    .belief("queue_room")
+                    .with("service", service)
+                    .with("waiting", waiting)
+                    .with("targets", room.targets())
+                    .with("targets_with_free_slot", room.withFreeSlot())
+                    .with("targets_usable", room.usable())
+                    .with("mean_others_load", Math.round(room.meanOthersLoad()))
+                    .with("tokens_per_s", Math.round(queue.tokensPerSecond(service, nowMillis)))
+                    .write();
+        });
+    }
+
     /** Refuses all waiting requests because this router ends. */
     void refuseAll() {
         long nowMillis = now();
--- a/src/main/java/org/radishspan/relay/RequestQueue.java
+++ b/src/main/java/org/radishspan/relay/RequestQueue.java
@@ -140,6 +140,17 @@
         return !lane(service).isEmpty();
     }
 
+    /** Returns the number of waiting requests of each service that has any. */
+    Map<String, Integer> waitingByService() {
+        Map<String, Integer> result = new HashMap<>();
+        lanes.forEach((service, lane) -> {
+            if (!lane.isEmpty()) {
+                result.put(service, lane.requests().size());
+            }
+        });
+        return result;
+    }
+
     private QueueLane<T> lane(String service) {
         return lanes.computeIfAbsent(service, ignored -> new QueueLane<>());
     }
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -530,6 +530,34 @@
         return free > 0 && unseen < limitDivision.connectionShare(target.nameHash, free);
     }
 
+    /**
+     * How much room the targets of a service have, as far as this router knows.
+     *
+     * @param targets the targets that may be sent work
+     * @param withFreeSlot those of them that had a free slot by their last reports and by the requests of this router
+     * @param usable those of them to which this router may send a small request now
+     * @param meanOthersLoad the mean number of requests of other routers at a target
+     */
+    public record Room(int targets, int withFreeSlot, int usable, double meanOthersLoad) {}
+
+    /** Returns how much room the targets of a service have for small requests. */
+    public Room room(String serves, long nowMillis) {
+        int count = 0;
+        int withFreeSlot = 0;
+        int usable = 0;
+        double meanOthersLoad = 0;
+        for (Target target : rows.values()) {
+            if (!isEligible(target, serves, Set.of())) {
+                continue;
+            }
+            count++;
+            withFreeSlot += target.load.reportedOthersLoad() + target.inFlight < target.slots ? 1 : 0;
+            usable += target.acceptsWork(nowMillis) && hasFreeSlot(target, nowMillis) ? 1 : 0;
+            meanOthersLoad = target.load.service().othersLoad.mean();
+        }
+        return new Room(count, withFreeSlot, usable, meanOthersLoad);
+    }
+
     /**
      * Returns the time in milliseconds until the first target of a service accepts work again: until its requested
      * pause ends, its rate limit permits a request and a connection is free. Empty if a target accepts work now, or if
--- a/src/test/java/org/radishspan/front/LoadExchangeTest.java
+++ b/src/test/java/org/radishspan/front/LoadExchangeTest.java
@@ -51,6 +51,9 @@
     public static class UnderLoad {
         private static final int DOMAINS = 4;
 
+        /** The part of requests that may be refused although there is room for them, as in the tests of whole routers. */
+        private static final double MAX_REFUSED_FRACTION = 0.01;
+
         private static LoadFleet fleet(boolean reportsPace) {
             LoadFleet fleet =
                     new LoadFleet(new LoadFleet.Layout(75, DOMAINS, 98, 12, NO_MEMORY_LIMIT, reportsPace, false), 1);
@@ -150,6 +153,25 @@
             assertTrue(fleet.mostWaiting() <= 24, "waiting at an engine " + fleet.mostWaiting());
         }
 
+        /** Guards against calls that wait at the router with most callers while engines have free slots. */
+        @Test
+        public void theRouterWithMostRequestsUsesTheFreeSlots() {
+            LoadFleet fleet = new LoadFleet(new LoadFleet.Layout(83, 3, 98, 12, 1_000_000, true, true), 1);
+            fleet.setWaitsForRoom();
+            fleet.startLoad(new LoadFleet.Kind(400, 826, 300, 2_000, 2_007));
+            fleet.startLoadAt("vm-7", new LoadFleet.Kind(200, 826, 300, 2_000, 2_007));
+            fleet.run(WARM_UP_MILLIS);
+            fleet.measure(MEASURED_MILLIS);
+            print("a third of the requests at one router", fleet);
+            double used = fleet.usedSlotFraction(MEASURED_MILLIS);
+            double refused = (double) fleet.refused() / (fleet.answered() + fleet.refused());
+            System.out.printf(
+                    "used slots %.3f, refused %.3f, most waiting at an engine %d, waits %d%n",
+                    used, refused, fleet.mostWaiting(), fleet.waits());
+            assertTrue(used < 0.9, "the slots suffice for the load: " + used);
+            assertTrue(refused <= MAX_REFUSED_FRACTION, "refused " + refused);
+        }
+
         /** Guards against messages where targets report no pace: existing deployments must stay as they are. */
         @Test
         public void nothingIsSentWhereTargetsReportNoPace() {
--- a/src/test/java/org/radishspan/front/LoadFleet.java
+++ b/src/test/java/org/radishspan/front/LoadFleet.java
@@ -403,6 +403,16 @@
         });
     }
 
+    /** Starts the arrival of requests of one type at one router, in addition to those that come to all. */
+    void startLoadAt(String vm, Kind kind) {
+        Node node = Objects.requireNonNull(nodes.get(vm), vm);
+        long delayMillis = Math.round(-Math.log(1 - random.nextDouble()) * SECOND_MILLIS / kind.perSecond());
+        time.schedule(delayMillis, () -> {
+            place(kind, node, time.nowMillis());
+            startLoadAt(vm, kind);
+        });
+    }
+
     private Node drawNode() {
         while (true) {
             int number = random.nextInt(nodeList.size());
