Show that calls are refused after an outage in which routers restarted

Ledger lines of one restarted router: 9 of 9 writes conflicted in 5 s, 49 changes waited for 10 s.

The test plays 83 routers on virtual time: the store refuses all calls for 10 s, 14 routers restart meanwhile.

--- a/src/test/java/org/radishspan/front/TokensThroughPeersTest.java
+++ b/src/test/java/org/radishspan/front/TokensThroughPeersTest.java
@@ -23,6 +23,11 @@
     private static final long STARTUP_MILLIS = 15_000;
     private static final long CUT_MILLIS = 9_000;
     private static final int CALLS_PER_SECOND = 208;
+    private static final int RESTARTED_ROUTERS = 13;
+    private static final long OUTAGE_MILLIS = 10_000;
+
+    /** Time after an outage in which calls may still be refused, as without restarts. */
+    private static final long RECOVERY_MILLIS = 2_000;
 
     /** Calls of the largest workspace at one router: 1.7 times as many as it usually has at all routers together. */
     private static final int CALLS_PER_SECOND_AT_ONE_ROUTER = 90;
@@ -78,6 +83,34 @@
         assertTrue(outcome.servedFraction() >= 1 - MAX_REFUSED_FRACTION, outcome + " " + reasons(refusals));
     }
 
+    /**
+     * Guards against refusals while millions of tokens are unspent (SHORT, issue 62): routers that had restarted while the store
+     * was away wrote the ledger themselves when it was back, and most writes of all routers conflicted.
+     */
+    @Test(groups = "known-red", dataProvider = "seeds")
+    public void callsAreServedSoonAfterAnOutageInWhichRoutersRestarted(int seed) {
+        FrontFleet fleet = fleet(120, seed);
+        fleet.refuseStore(ROUTERS);
+        for (int router = 0; router < ROUTERS; router += ROUTERS / RESTARTED_ROUTERS) {
+            fleet.kill(router, 500);
+        }
+        fleet.runCalls(OUTAGE_MILLIS);
+        fleet.setRoutersWithoutStore(0);
+        fleet.takeStoreCalls();
+        FrontFleet.Outcome recovery = fleet.runCalls(RECOVERY_MILLIS);
+        System.out.printf("seed %d, recovery: %s, calls of the store %s%n", seed, recovery, fleet.takeStoreCalls());
+        int refusedBefore = fleet.refusals().size();
+        FrontFleet.Outcome outcome = fleet.runCalls(3_000);
+        List<Failure> refusals =
+                fleet.refusals().subList(refusedBefore, fleet.refusals().size());
+        assertTrue(outcome.servedFraction() >= 1 - MAX_REFUSED_FRACTION, outcome + " " + reasons(refusals));
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1}, {2}, {3}, {4}, {5}};
+    }
+
     /** Guards against overspending by changes that were passed on although a write of unknown outcome contained them. */
     @Test(dataProvider = "cuts")
     public void noBudgetIsOverspentWhenChangesMoveBetweenRouters(boolean refusing, int busyRouter) {
