End the back-off of an outage with the store's first answer

Cause: SharedObject has one back-off for failed calls and for conflicts. In an outage it grows to the fleet's maximum (1.66 s at 83 routers). The first conflict after the outage, which is likely as several routers write then, kept that maximum, so the router that commits for all others paused longer than their time-out of 900 ms. All of them then turned to the next router at the same moment.

Change: an answer of the store, a conflict too, ends the series of failures.

--- a/src/main/java/org/radishspan/store/SharedObject.java
+++ b/src/main/java/org/radishspan/store/SharedObject.java
@@ -369,6 +369,10 @@
     private void onCallEnded(boolean failed) {
         callInFlight = false;
         overdueSinceMillis = 0;
+        if (lastCallFailed && !failed) {
+            // The back-off of an outage must not delay the retry after a conflict.
+            backoffMillis = 0;
+        }
         lastCallFailed = failed;
         if (!failed) {
             lastAnswerMillis = nowMillis - callSentAtMillis;
--- a/src/test/java/org/radishspan/store/SharedObjectTest.java
+++ b/src/test/java/org/radishspan/store/SharedObjectTest.java
@@ -39,6 +39,7 @@
         private final Deque<Runnable> replies = new ArrayDeque<>();
         private boolean loseReply;
         private boolean rejectWrites;
+        private boolean rejectReads;
         private final StoreEra storeEra = new StoreEra();
         private long nowMillis;
 
@@ -59,7 +60,8 @@
         private final class QueueingStore implements PlatformStore {
             @Override
             public void get(String key, Consumer<Either<Failure, StoredObject>> reply) {
-                replies.add(() -> reply.accept(Either.right(objects.get(key))));
+                Failure noReply = Failure.unknown(ErrorKind.PLATFORM_UNAVAILABLE, "no reply");
+                replies.add(() -> reply.accept(rejectReads ? Either.left(noReply) : Either.right(objects.get(key))));
             }
 
             @Override
@@ -90,11 +92,51 @@
             }
         }
 
+        /** Returns the time until the next call is sent. */
+        private long millisUntilCall() {
+            long sinceMillis = nowMillis;
+            while (replies.isEmpty()) {
+                nowMillis += 10;
+                object.tick(nowMillis);
+            }
+            return nowMillis - sinceMillis;
+        }
+
+        private void reply() {
+            replies.remove().run();
+        }
+
         private String stored() {
             return new String(objects.get("key").value(), UTF_8);
         }
     }
 
+    /** Tests how long the object waits after a failed call. */
+    public static class BackOff {
+        private static final long CONFLICT_BACKOFF_MILLIS = 30;
+
+        /** Guards against a router that commits for all others and pauses after the first conflict when an outage ends. */
+        @Test
+        public void ofAnOutageEndsWithItsFirstAnswer() {
+            Harness test = new Harness();
+            test.rejectReads = true;
+            test.object.submit(append("a"), result -> {});
+            for (int i = 0; i < 20; i++) {
+                test.millisUntilCall();
+                test.reply();
+            }
+            test.rejectReads = false;
+            test.millisUntilCall();
+            test.reply();
+            test.millisUntilCall();
+            test.objects.put("key", test.objects.get("key").version(), "other".getBytes(UTF_8));
+            test.reply();
+            assertEquals(test.object.counters().conflicts(), 1, "the write conflicted with that of another VM");
+            long waitedMillis = test.millisUntilCall();
+            assertTrue(waitedMillis <= CONFLICT_BACKOFF_MILLIS, "waited " + waitedMillis + " ms");
+        }
+    }
+
     /** Tests the writes of queued mutations. */
     public static class Commit {
         @Test
