Do not count refusals of routers without the store as sends of a change

Cause: a change that was sent to eight routers without success is committed by its own router. Routers that do not reach the store refuse changes at once, so in an outage most changes reach that limit within a second. When the store was back, nearly every router wrote the ledger, and most writes conflicted.

Change: a refusal is not counted. The refusing router is passed over, so the next send goes to another one, and no loop is possible.

--- a/src/main/java/org/radishspan/budget/LedgerGateway.java
+++ b/src/main/java/org/radishspan/budget/LedgerGateway.java
@@ -348,6 +348,8 @@
         }
         if (answer.getStoreUnreachable()) {
             combinerClient.onStoreUnreachable(call.vm());
+            // The next combiner is another router, so refusals need no limit, unlike calls without an answer.
+            call.ops().forEach(change -> change.sends--);
             if (!retried) {
                 retry(call);
             }
--- a/src/test/java/org/radishspan/budget/LedgerGatewayTest.java
+++ b/src/test/java/org/radishspan/budget/LedgerGatewayTest.java
@@ -149,6 +149,23 @@
         assertEquals(harness.committedTokens(), 400);
     }
 
+    /** Guards against routers that all write the ledger when an outage ends, because others had refused their changes in it. */
+    @Test
+    public void refusalsOfRoutersWithoutTheStoreDoNotCountAsSends() {
+        Harness harness = new Harness();
+        for (int i = 1; i <= 2 * MAX_SENDS; i++) {
+            harness.combinerAfterTimeout = "router-" + i;
+            LedgerCall last = harness.sent.get(harness.sent.size() - 1);
+            harness.gateway.onAnswer(LedgerAnswer.newBuilder()
+                    .setCallId(last.getCallId())
+                    .setStoreUnreachable(true)
+                    .build());
+            harness.advance(10);
+            assertEquals(harness.sent.size(), i + 1);
+        }
+        assertEquals(harness.committedTokens(), 0);
+    }
+
     @Test
     public void limitChangesAndClosingsAreSentToTheCombiner() {
         Harness harness = new Harness();
