Let streams go on only at the software version that began them

Cause: nothing read the version of a target's entry. A stream was continued at any target of its service, by a router after its target broke off and for callers that took it up, and a router that started knew nothing of it.

Callers saw: streams whose beginning was written by one software version and whose rest by another, with nothing to show it (ORDER), and take-ups that failed (LOST).

Ruled out: choosing the version by a hash of the request's id (streams that could not begin there would be joined or refused), and one object of the store for each stream or batch (too many calls or bytes).

Change: targets have a software version. The router of a stream remembers it; while a service has several versions, two more routers do, and a router that does not know a stream asks them. With one version in 30 s it is known without a message. The versions of each service are kept in the store, one call a start and one write a change. A new version gets streams that may be resumed when all routers know it. Unknown or gone versions are refused at once.

--- a/src/main/java/org/radishspan/deployment/TargetDirectory.java
+++ b/src/main/java/org/radishspan/deployment/TargetDirectory.java
@@ -120,17 +120,7 @@
         removedIncarnations.remove(name);
         Target known = targets.get(name);
         boolean drainingBefore = known != null && known.leaving();
-        Target registered = targets.register(
-                new TargetEntry(
-                        name,
-                        entry.service(),
-                        entry.address(),
-                        entry.failureDomain(),
-                        entry.slots(),
-                        entry.draining(),
-                        entry.startedAtUnixMillis(),
-                        entry.coldMillis()),
-                clockMillis.getAsLong());
+        Target registered = targets.register(entry.withId(name), clockMillis.getAsLong());
         if (known != null && known.startedAtUnixMillis() != registered.startedAtUnixMillis()) {
             onEnded.accept(known);
         }
--- a/src/main/java/org/radishspan/deployment/TargetEntry.java
+++ b/src/main/java/org/radishspan/deployment/TargetEntry.java
@@ -11,6 +11,7 @@
  * @param draining whether it is about to stop and accepts no new requests
  * @param startedAtUnixMillis when this incarnation started, in milliseconds of Unix time; distinguishes incarnations of one id
  * @param coldMillis for how long the target is still slow after its start; 0 if it is not cold
+ * @param softwareVersion the version of its software, not of the weights of its models; empty text if it names none
  */
 public record TargetEntry(
         String id,
@@ -20,9 +21,10 @@
         int slots,
         boolean draining,
         long startedAtUnixMillis,
-        long coldMillis) {
+        long coldMillis,
+        String softwareVersion) {
 
-    /** Creates the entry of a target that is not cold. */
+    /** Creates the entry of a target that is not cold and names no software version. */
     public TargetEntry(
             String id,
             String service,
@@ -31,13 +33,28 @@
             int slots,
             boolean draining,
             long startedAtUnixMillis) {
-        this(id, service, address, failureDomain, slots, draining, startedAtUnixMillis, 0);
+        this(id, service, address, failureDomain, slots, draining, startedAtUnixMillis, 0, "");
+    }
+
+    /** Returns this entry under the name of its object in the store. */
+    TargetEntry withId(String name) {
+        return new TargetEntry(
+                name,
+                service,
+                address,
+                failureDomain,
+                slots,
+                draining,
+                startedAtUnixMillis,
+                coldMillis,
+                softwareVersion);
     }
 
     /** Returns this entry with the target counted as not cold. */
     public TargetEntry withoutColdTime() {
         return coldMillis == 0
                 ? this
-                : new TargetEntry(id, service, address, failureDomain, slots, draining, startedAtUnixMillis, 0);
+                : new TargetEntry(
+                        id, service, address, failureDomain, slots, draining, startedAtUnixMillis, 0, softwareVersion);
     }
 }
--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -45,6 +45,7 @@
 import org.radishspan.platform.EvacuationCodec;
 import org.radishspan.platform.RouterCodec;
 import org.radishspan.platform.TargetCodec;
+import org.radishspan.proto.FindStream;
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
 import org.radishspan.proto.PeerMessage;
@@ -52,6 +53,8 @@
 import org.radishspan.proto.ReserveTokens;
 import org.radishspan.proto.SettleTokens;
 import org.radishspan.proto.StoreNews;
+import org.radishspan.proto.StreamFound;
+import org.radishspan.proto.StreamsBegun;
 import org.radishspan.proto.Strike;
 import org.radishspan.proto.TargetLeaving;
 import org.radishspan.proto.TargetLoads;
@@ -68,6 +71,7 @@
 import org.radishspan.routing.LimitDivision;
 import org.radishspan.routing.Placement;
 import org.radishspan.routing.PrefixWeights;
+import org.radishspan.routing.SoftwareVersions;
 import org.radishspan.routing.Target;
 import org.radishspan.routing.TargetTable;
 import org.radishspan.routing.TargetTable.ListedVm;
@@ -221,6 +225,9 @@
     private final TargetNotices notices;
     private final Optional<Places> places;
     private final LoadExchange loadExchange;
+    private final SoftwareVersions softwareVersions;
+    private final VersionReports versionReports;
+    private final StreamOrigins streamOrigins;
     private final RelaySystem relay;
     private final LedgerReport ledgerReport;
     private final Map<String, Long> adoptedVersions = new HashMap<>();
@@ -254,6 +261,7 @@
                 () -> feed().waitMillis(watchMillis));
         this.limitDivision = new LimitDivision(self.vm(), () -> routerWatch().hasListed());
         this.targets = new TargetTable(limitDivision);
+        this.softwareVersions = new SoftwareVersions(targets, settings.bounds().undisturbedMillis());
         this.targetDirectory = new TargetDirectory(
                 targets,
                 millis -> targetWatch().hadOutageWithin(millis),
@@ -275,7 +283,8 @@
                 COMMIT_GAP_MILLIS,
                 () -> feed().fleetBackoffMillis());
         this.ledgers = new LedgerPartitions(LEDGER_PARTITIONS, objectPorts);
-        this.ledgerReport = new LedgerReport(ledgers, partition -> peers().table().combinerOf(partition), ports.log());
+        this.ledgerReport =
+                new LedgerReport(ledgers, partition -> peers().table().combinerOf(partition), ports.log());
         this.peers = new PeerSystem(
                 new PeerSystem.Self(self.vm(), self.incarnation(), self.failureDomain()),
                 ports.peerLink(),
@@ -287,6 +296,15 @@
         if (settings.features().admissionControl()) {
             targets.loads().activate();
         }
+        this.versionReports = new VersionReports(
+                ports.kinds(),
+                ports.storeEra(),
+                softwareVersions,
+                this::writesVersions,
+                ports.unixMillis(),
+                ports.log());
+        this.streamOrigins = new StreamOrigins(
+                self.vm(), peers, softwareVersions, this::versionsComplete, ports.log(), ports.meters());
         this.routers = new RouterDirectory(self, ports.kinds(), ports.log(), this::onRoutersChanged);
         this.routerWatch = watch(RouterCodec.KIND, RouterCodec::decode, routers, () -> ROUTERS_WATCH_MILLIS);
         KindFeed.Pace feedPace = KindFeed.Pace.of(settings.bounds(), settings.features());
@@ -337,6 +355,7 @@
                         ports.protocol(),
                         targets,
                         places.map(used -> used.rules).orElse(TargetRules.ALL),
+                        streamOrigins,
                         tokenClient,
                         configuration::current,
                         this::routerCount,
@@ -501,6 +520,22 @@
                 || ledgers.all().stream().anyMatch(ledger -> ledger.lastCallFailed() || ledger.callOverdue());
     }
 
+    private boolean writesVersions() {
+        return routersKnown()
+                && !draining
+                && !storeUnreachable()
+                && peers.table().combinerOf(0).isEmpty();
+    }
+
+    /**
+     * Returns whether this router knows every software version at which a stream may have begun. Other routers let streams
+     * begin at a version only when it has been in the store for this time.
+     */
+    private boolean versionsComplete() {
+        return versionReports.read()
+                && targetWatch.completeAgoMillis() < settings.bounds().undisturbedMillis();
+    }
+
     private int requestsInProgress() {
         return relay.inProgress();
     }
@@ -698,6 +733,9 @@
         targetWatch.tick(nowMillis);
         detectStoreRecovery();
         targetDirectory.tick();
+        if (targetWatch.hasListed()) {
+            softwareVersions.onListed(nowMillis);
+        }
         routers.tick(nowMillis);
         if (!targetWatch.lastCallFailed()) {
             // While the store fails, only the watch of targets retries it: refused calls are charged as well.
@@ -706,6 +744,9 @@
             routers.registerIfDue();
             crashWatch.tick(nowMillis);
             crashReports.tick(nowMillis);
+            if (targetWatch.hasListed()) {
+                versionReports.tick(nowMillis);
+            }
         }
         places.ifPresent(used -> used.tick(nowMillis));
         reportStoreAccess();
@@ -714,6 +755,7 @@
         tokenClient.tick(nowMillis);
         tokenKeeper.tick(nowMillis);
         loadExchange.tick(nowMillis);
+        streamOrigins.tick(nowMillis);
         relay.tick();
         if (draining) {
             shares.retire();
@@ -846,6 +888,21 @@
             loadExchange.onLoads(vm, loads, ports.clockMillis().getAsLong());
         }
 
+        @Override
+        public void onStreamsBegun(StreamsBegun begun) {
+            streamOrigins.onStreamsBegun(begun);
+        }
+
+        @Override
+        public void onFindStream(String vm, FindStream call) {
+            streamOrigins.onFindStream(vm, call);
+        }
+
+        @Override
+        public void onStreamFound(StreamFound answer) {
+            streamOrigins.onStreamFound(answer);
+        }
+
         @Override
         public void onReserveTokens(String vm, ReserveTokens call) {
             tokenKeeper.onReserve(vm, call);
--- a/src/main/java/org/radishspan/peer/PeerSystem.java
+++ b/src/main/java/org/radishspan/peer/PeerSystem.java
@@ -14,6 +14,7 @@
 import org.radishspan.budget.Ledger;
 import org.radishspan.proto.BillHandover;
 import org.radishspan.proto.BillHandoverReply;
+import org.radishspan.proto.FindStream;
 import org.radishspan.proto.Hello;
 import org.radishspan.proto.LedgerAnswer;
 import org.radishspan.proto.LedgerCall;
@@ -25,6 +26,8 @@
 import org.radishspan.proto.SettleTokens;
 import org.radishspan.proto.ShareWanted;
 import org.radishspan.proto.StoreNews;
+import org.radishspan.proto.StreamFound;
+import org.radishspan.proto.StreamsBegun;
 import org.radishspan.proto.Strike;
 import org.radishspan.proto.TargetLeaving;
 import org.radishspan.proto.TargetLoads;
@@ -88,6 +91,15 @@
         /** Handles loads of targets that a peer received or collected. */
         default void onTargetLoads(String vm, TargetLoads loads) {}
 
+        /** Keeps at which software versions streams began at a peer. */
+        default void onStreamsBegun(StreamsBegun begun) {}
+
+        /** Answers a peer at which software version a stream began. */
+        default void onFindStream(String vm, FindStream call) {}
+
+        /** Handles the answer to such a question of this router. */
+        default void onStreamFound(StreamFound answer) {}
+
         /** Reserves tokens of this router's share for a call at a peer. */
         default void onReserveTokens(String vm, ReserveTokens call) {}
 
@@ -264,6 +276,9 @@
             case TARGET_LEAVING -> handlers.onTargetLeaving(message.getTargetLeaving());
             case TARGET_RATE_LIMIT -> handlers.onTargetRateLimit(vm, message.getTargetRateLimit());
             case TARGET_LOADS -> handlers.onTargetLoads(vm, message.getTargetLoads());
+            case STREAMS_BEGUN -> handlers.onStreamsBegun(message.getStreamsBegun());
+            case FIND_STREAM -> handlers.onFindStream(vm, message.getFindStream());
+            case STREAM_FOUND -> handlers.onStreamFound(message.getStreamFound());
             case RESERVE_TOKENS -> handlers.onReserveTokens(vm, message.getReserveTokens());
             case TOKENS_RESERVED -> handlers.onTokensReserved(message.getTokensReserved());
             case SETTLE_TOKENS -> handlers.onSettleTokens(vm, message.getSettleTokens());
--- a/src/main/java/org/radishspan/peer/PeerTable.java
+++ b/src/main/java/org/radishspan/peer/PeerTable.java
@@ -4,7 +4,9 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 import org.agrona.collections.Object2ObjectHashMap;
@@ -184,6 +186,22 @@
         return best;
     }
 
+    /**
+     * Returns the listed VMs, this one included, that rank first for a hash. They do not depend on which routers answer, so
+     * that all routers agree about them.
+     */
+    public List<String> firstListed(int hash, int count) {
+        Map<Integer, String> vmsByRank = new TreeMap<>(Integer::compareUnsigned);
+        vmsByRank.put(RendezvousRank.of(hash, selfHash), self.vm());
+        for (Peer peer : rows.values()) {
+            if (peer.listed) {
+                vmsByRank.put(RendezvousRank.of(hash, peer.vmHash), peer.vm);
+            }
+        }
+        List<String> ascending = List.copyOf(vmsByRank.values());
+        return ascending.subList(Math.max(0, ascending.size() - count), ascending.size());
+    }
+
     /** Returns the VMs of the other routers in this failure domain that are listed and not draining. */
     public List<String> othersOfDomain() {
         List<String> result = new ArrayList<>();
--- a/src/main/java/org/radishspan/platform/CallerCodec.java
+++ b/src/main/java/org/radishspan/platform/CallerCodec.java
@@ -35,7 +35,8 @@
                 call.header(WireHeaders.CALLER_KEY).map(String::strip),
                 wholeNumber(call.header(WireHeaders.DEADLINE_MILLIS).orElse("")),
                 prompt(call),
-                wholeNumber(call.header(WireHeaders.LAST_EVENT_ID).orElse("")));
+                wholeNumber(call.header(WireHeaders.LAST_EVENT_ID).orElse("")),
+                call.header(WireHeaders.RESUMED_REQUEST_ID).map(String::strip));
     }
 
     private static String host(String value) {
--- a/src/main/java/org/radishspan/platform/TargetCodec.java
+++ b/src/main/java/org/radishspan/platform/TargetCodec.java
@@ -32,11 +32,20 @@
         // Milliseconds since 1970. Without this field the incarnations of a target cannot be distinguished.
         long startedAtUnixMillis = fields.wholeNumber("born", 0, Long.MAX_VALUE, 0);
         long coldMillis = (long) fields.lenientNumber("cold_left_ms", 0, MAX_COLD_MILLIS, 0);
+        String softwareVersion = fields.optionalText("version").orElse("");
         boolean draining = state.equals("draining");
         if (!fields.valid() || (!draining && !state.equals("ready"))) {
             return Optional.empty();
         }
-        return Optional.of(
-                new TargetEntry("", service, address, failureDomain, slots, draining, startedAtUnixMillis, coldMillis));
+        return Optional.of(new TargetEntry(
+                "",
+                service,
+                address,
+                failureDomain,
+                slots,
+                draining,
+                startedAtUnixMillis,
+                coldMillis,
+                softwareVersion));
     }
 }
--- a/src/main/java/org/radishspan/platform/WireHeaders.java
+++ b/src/main/java/org/radishspan/platform/WireHeaders.java
@@ -15,6 +15,7 @@
     static final String PROMPT_PARTS = "X-Prompt-Prefix";
     static final String URGENCY = "X-Request-Urgency";
     static final String LAST_EVENT_ID = "Last-Event-Id";
+    static final String RESUMED_REQUEST_ID = "Resumes";
     static final String NOT_RUN = "X-Not-Executed";
     static final String SIGNATURE = "X-Server-Stamp";
     static final String LOAD = "X-Server-Load";
--- a/src/main/java/org/radishspan/relay/AdmissionQueue.java
+++ b/src/main/java/org/radishspan/relay/AdmissionQueue.java
@@ -135,10 +135,10 @@
                 request,
                 request.service,
                 workspace.orElse("route " + request.route.name()),
-                request.relayedEvents > 0 ? RESUMED_STREAM_PRIORITY : request.urgency,
+                request.softwareVersion == null ? request.urgency : RESUMED_STREAM_PRIORITY,
                 tokens,
                 request.callerRequest.body().length + REQUEST_OVERHEAD_BYTES,
-                request.triedTargets.isEmpty()
+                request.triedTargets.isEmpty() && request.softwareVersion == null
                         ? new RoomKey(request.service, request.route.name(), workspace)
                         : request,
                 nowMillis,
--- a/src/main/java/org/radishspan/relay/Attempt.java
+++ b/src/main/java/org/radishspan/relay/Attempt.java
@@ -72,6 +72,10 @@
 
     final RelayRequest request;
     final Target target;
+
+    /** The software version of the target when the request was sent. */
+    final String softwareVersion;
+
     final long sentAtMillis;
     private final TargetProtocol protocol;
     private final ResultHandler resultHandler;
@@ -114,6 +118,7 @@
             LongSupplier clockMillis) {
         this.request = request;
         this.target = choice.target();
+        this.softwareVersion = choice.target().softwareVersion();
         this.unreadTokens = choice.unreadTokens();
         this.estimateMillis = choice.estimateMillis();
         this.memoryTokens =
--- a/src/main/java/org/radishspan/relay/CallerRequest.java
+++ b/src/main/java/org/radishspan/relay/CallerRequest.java
@@ -25,6 +25,7 @@
  * @param deadlineMillis the time until the caller's deadline, in milliseconds; empty if it sent no deadline
  * @param prompt the prompt if the request is for a model
  * @param lastEventId the id of the last event that the caller has received of a stream that it resumes
+ * @param resumedRequestId the id of the request that brought the first event of that stream; empty if the caller names none
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record CallerRequest(
@@ -37,7 +38,8 @@
         Optional<String> callerKey,
         OptionalLong deadlineMillis,
         Optional<Prompt> prompt,
-        OptionalLong lastEventId) {
+        OptionalLong lastEventId,
+        Optional<String> resumedRequestId) {
 
     private static final String ACCEPTED_CODINGS_HEADER = "Accept-Encoding";
     private static final String NO_CODING = "identity";
@@ -50,6 +52,11 @@
                 .anyMatch(codings -> !codings.isEmpty() && !codings.equalsIgnoreCase(NO_CODING));
     }
 
+    /** Returns the id of the request that brought, or is to bring, the first event of this request's stream. */
+    String streamId() {
+        return resumedRequestId.orElse(requestId);
+    }
+
     /** Returns the path without the query. */
     public String path() {
         int query = uri.indexOf('?');
--- a/src/main/java/org/radishspan/relay/RelayRequest.java
+++ b/src/main/java/org/radishspan/relay/RelayRequest.java
@@ -64,6 +64,10 @@
 
     private @Nullable List<String> fingerprints;
 
+    /** The software version of the targets whose events the caller has got; null while it has none. */
+    @Nullable
+    String softwareVersion;
+
     /** The head of the stream, which is relayed with the first event. */
     TargetProtocol.@Nullable AnswerHead streamHead;
 
--- a/src/main/java/org/radishspan/relay/RelaySystem.java
+++ b/src/main/java/org/radishspan/relay/RelaySystem.java
@@ -45,6 +45,7 @@
      * @param protocol encodes requests to targets and decodes the heads of their answers
      * @param targets the known targets and their state
      * @param targetRules which targets a request may be sent to
+     * @param streamVersions the software versions at which streams began
      * @param tokens reserves and bills tokens of prepaid budgets
      * @param configuration the configuration in force; empty until one has been loaded
      * @param liveRouters the number of live routers, including this one
@@ -60,6 +61,7 @@
             TargetProtocol protocol,
             TargetTable targets,
             TargetRules targetRules,
+            StreamVersions streamVersions,
             TokenSource tokens,
             Supplier<Optional<DeploymentConfiguration>> configuration,
             IntSupplier liveRouters,
@@ -169,7 +171,8 @@
             boolean admissionControl) {
         this.ports = ports;
         this.retryBudget = new RetryBudget(retryBound);
-        this.targetPicker = new TargetPicker(ports.targets(), ports.targetRules(), placement, failureDomain);
+        this.targetPicker = new TargetPicker(
+                ports.targets(), ports.targetRules(), ports.streamVersions(), placement, failureDomain);
         this.crashDetector = new CrashDetector(ports.quarantineTable(), ports.log(), ports.metrics());
         this.admission = new Admission(crashDetector, ports.random(), ports.metrics());
         this.tokenMeter = new TokenMeter(ports.tokens(), ports.log());
@@ -283,9 +286,32 @@
             expire(request);
             return;
         }
+        if (request.route.kind() == RouteKind.STREAM && request.lastEventId.isPresent()) {
+            continueStream(request);
+            return;
+        }
+        reserveAndPlace(request);
+    }
+
+    private void reserveAndPlace(RelayRequest request) {
         tokenMeter.reserve(request, () -> place(request), failure -> fail(request, failure));
     }
 
+    /** Sends a request that takes up a stream to the targets of the software version at which the stream began. */
+    private void continueStream(RelayRequest request) {
+        ports.streamVersions().find(request.service, request.callerRequest.streamId(), found -> {
+            if (request.finished) {
+                return;
+            }
+            if (found.isLeft()) {
+                fail(request, found.getLeft());
+                return;
+            }
+            request.softwareVersion = found.get();
+            reserveAndPlace(request);
+        });
+    }
+
     private RelayRequest register(
             CallerRequest callerRequest, RelayRequest.Terms terms, CallerExchange exchange, long waitedMillis) {
         long nowMillis = now();
@@ -724,6 +750,12 @@
                 request.lastEventId = OptionalLong.of(event.id());
             }
             relayStreamHead(request);
+            if (request.softwareVersion == null) {
+                request.softwareVersion = attempt.softwareVersion;
+                if (request.route.resumable()) {
+                    ports.streamVersions().onBegun(request.service, request.id(), attempt.softwareVersion);
+                }
+            }
             request.recordEvent(now());
             request.exchange.write(event.bytes());
             if (!request.exchange.writable()) {
@@ -738,6 +770,7 @@
             recordAnswerTime(attempt);
             relayStreamHead(attempt.request);
             answered(attempt.request, 0);
+            ports.streamVersions().onComplete(attempt.request.callerRequest.streamId());
             attempt.request.exchange.end();
             drainQueue();
         }
--- a/src/main/java/org/radishspan/relay/TargetPicker.java
+++ b/src/main/java/org/radishspan/relay/TargetPicker.java
@@ -35,10 +35,17 @@
     private final TargetRules targetRules;
     private final Placement placement;
     private final String failureDomain;
-
-    TargetPicker(TargetTable targets, TargetRules targetRules, Placement placement, String failureDomain) {
+    private final StreamVersions streamVersions;
+
+    TargetPicker(
+            TargetTable targets,
+            TargetRules targetRules,
+            StreamVersions streamVersions,
+            Placement placement,
+            String failureDomain) {
         this.targets = targets;
         this.targetRules = targetRules;
+        this.streamVersions = streamVersions;
         this.placement = placement;
         this.failureDomain = failureDomain;
     }
@@ -112,7 +119,20 @@
     }
 
     private TargetFilter filterFor(RelayRequest request) {
-        return targetRules.filterFor(request.route, request.workspace, request.callerRequest.prompt());
+        TargetFilter allowed = targetRules.filterFor(request.route, request.workspace, request.callerRequest.prompt());
+        String version = request.softwareVersion;
+        if (version != null) {
+            return allowed.and((target, nowMillis) -> target.softwareVersion().equals(version));
+        }
+        return request.route.resumable() ? allowed.and(streamVersions::mayBegin) : allowed;
+    }
+
+    /** Returns whether a stream cannot go on because its software version is not in service any more. */
+    private boolean versionHasLeft(RelayRequest request) {
+        String version = request.softwareVersion;
+        return version != null
+                && targets.remaining(request.service).stream()
+                        .noneMatch(target -> target.softwareVersion().equals(version));
     }
 
     /**
@@ -150,6 +170,13 @@
             return Failure.unknown(
                     ErrorKind.TARGET_FAILED, "a target that may have run the request failed, and " + cause);
         }
+        if (versionHasLeft(request)) {
+            // Without Retry-After, because the version does not come back while the caller waits.
+            return Failure.notRun(
+                    ErrorKind.NO_TARGET,
+                    "no target of the software version at which the stream began is in service: "
+                            + request.softwareVersion);
+        }
         Optional<Failure> refusal =
                 targetRules.refusal(request.route, request.workspace, targets.remaining(request.service));
         if (refusal.isPresent()) {
--- a/src/main/java/org/radishspan/routing/Target.java
+++ b/src/main/java/org/radishspan/routing/Target.java
@@ -34,6 +34,7 @@
     long peerPromptAtMillis;
     long backoffMillis;
     int slots = 1;
+    String softwareVersion = "";
     long heldTokens;
     final int nameHash;
     final LoadView load;
@@ -130,6 +131,11 @@
         return registeredAtMillis;
     }
 
+    /** Returns the version of the target's software; empty text if it names none. */
+    public String softwareVersion() {
+        return softwareVersion;
+    }
+
     /** Returns the prompt tokens of this router's requests that have had no first event yet. */
     public long pendingPromptTokens() {
         return pendingPromptTokens;
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -82,6 +82,7 @@
     private final Map<String, WorkSpeed> serviceSpeeds = new HashMap<>();
     private final Map<String, Integer> maxConnections = new HashMap<>();
     private long coldRefusals;
+    private long membershipChanges;
 
     /** Creates a table for the only router in the deployment, which may use every limit in full. */
     public TargetTable() {
@@ -194,10 +195,19 @@
             }
             loads.add(row);
         }
+        boolean changed =
+                !unchanged || row.leaving != entry.draining() || !row.softwareVersion.equals(entry.softwareVersion());
+        membershipChanges += changed ? 1 : 0;
+        row.softwareVersion = entry.softwareVersion();
         row.leaving = entry.draining();
         return row;
     }
 
+    /** Returns how often a target was added, removed, reported as leaving, or changed its software version. */
+    long membershipChanges() {
+        return membershipChanges;
+    }
+
     /**
      * Records that a target reported in an answer that it is leaving. This holds until another incarnation registers.
      *
@@ -207,6 +217,7 @@
         TargetSignals.Signals retained = retainSignals(target);
         boolean first = !retained.leavingReported;
         retained.leavingReported = true;
+        membershipChanges += first ? 1 : 0;
         return first;
     }
 
@@ -346,6 +357,7 @@
         Target target = rows.remove(name);
         if (target != null) {
             target.leaving = true;
+            membershipChanges++;
             loads.remove(target);
         }
     }
--- a/src/main/java/org/radishspan/store/KindWatch.java
+++ b/src/main/java/org/radishspan/store/KindWatch.java
@@ -233,6 +233,14 @@
         return lastCallFailed && !watchCutOff;
     }
 
+    /**
+     * Returns the time since this view was last known to be complete, in milliseconds; a very long time if changes are known to
+     * be missing.
+     */
+    public long completeAgoMillis() {
+        return synced && !missingChanges ? nowMillis - lastAnswerAtMillis : Long.MAX_VALUE;
+    }
+
     /** Requests that the whole list is read again, for example because a change is known that this view lacks. */
     public void relist() {
         relistRequested = true;
--- a/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
+++ b/src/test/java/org/radishspan/deployment/TargetDirectoryTest.java
@@ -42,7 +42,7 @@
 
         private static TargetEntry entry(boolean draining, long startedAtUnixMillis, long coldMillis) {
             return new TargetEntry(
-                    "", "s", new Address("10.0.0.1", 80), "a", 6, draining, startedAtUnixMillis, coldMillis);
+                    "", "s", new Address("10.0.0.1", 80), "a", 6, draining, startedAtUnixMillis, coldMillis, "");
         }
 
         private static ColdTimes enabled() {
--- a/src/test/java/org/radishspan/front/FleetTargets.java
+++ b/src/test/java/org/radishspan/front/FleetTargets.java
@@ -19,6 +19,7 @@
     private final Map<String, Integer> inProgress = new HashMap<>();
     private final Set<String> crashed = new HashSet<>();
     private int maxInProgress;
+    private boolean streams;
 
     /** Returns the name of the request header that holds the name of the target. */
     static String nameHeader() {
@@ -30,6 +31,11 @@
         rateLimits.put(target, requestsPerSecond);
     }
 
+    /** Lets all targets answer with streams of events. */
+    void useStreams() {
+        streams = true;
+    }
+
     void onArrival(String target, long arrivedAtMillis) {
         arrivalsMillis.computeIfAbsent(target, ignored -> new ArrayList<>()).add(arrivedAtMillis);
         maxInProgress = Math.max(maxInProgress, inProgress.merge(target, 1, Integer::sum));
@@ -59,6 +65,9 @@
         if (header.equalsIgnoreCase("X-Server-Stamp")) {
             return "signed";
         }
+        if (streams && header.equalsIgnoreCase("Content-Type")) {
+            return "text/event-stream";
+        }
         OptionalDouble limit = rateLimits.getOrDefault(target, OptionalDouble.empty());
         return header.equalsIgnoreCase("Server-Limit") && limit.isPresent()
                 ? Double.toString(limit.getAsDouble())
--- a/src/test/java/org/radishspan/front/FrontFleet.java
+++ b/src/test/java/org/radishspan/front/FrontFleet.java
@@ -122,6 +122,9 @@
     /** Time until a target begins to write an answer. */
     private static final long ANSWER_BEGIN_MICROS = 150 * MICROS_PER_MILLI;
 
+    /** Time between two events of a stream. */
+    private static final long EVENT_MICROS = 200 * MICROS_PER_MILLI;
+
     private static final Failure NO_ANSWER =
             Failure.unknown(ErrorKind.PLATFORM_UNAVAILABLE, "the store does not answer");
 
@@ -406,6 +409,7 @@
     private final Map<String, Integer> sendCounts = new HashMap<>();
     private final Map<String, Integer> storeCalls = new TreeMap<>();
     private final Map<String, List<TargetCall>> targetCalls = new HashMap<>();
+    private final Map<String, String> softwareVersions = new HashMap<>();
     private final Map<String, String> addresses = new HashMap<>();
     private final Map<String, String> targetsByAddress = new HashMap<>();
     private final List<Long> crashesMillis = new ArrayList<>();
@@ -417,6 +421,7 @@
     private double extraCallsPerSecond;
     private double pendingExtraCalls;
     private int maxConnections = DEFAULT_MAX_CONNECTIONS;
+    private String routeKind = "unsafe";
     private String routeFields = "";
     private String serviceFields = "";
     private boolean storeRefuses;
@@ -491,6 +496,12 @@
         configure(version);
     }
 
+    /** Writes a configuration whose route carries streams that may be resumed. */
+    void useStreams(long version) {
+        routeKind = "streaming";
+        setRouteFields(",\"stream_resume\": true, \"max_attempts\": 2", version);
+    }
+
     /** Writes a configuration with further fields of the service, each preceded by a comma. */
     void setServiceFields(String fields, long version) {
         serviceFields = fields;
@@ -584,10 +595,11 @@
                             + "}");
         }
         return "{\"version\": " + version + """
-                , "routes": [{"name": "r", "host": "h", "path_prefix": "/r/", "kind": "unsafe",
-                  "timeout_ms": 6000, "target_latency_ms": 800, "service": "s" """ + routeFields + """
+                , "routes": [{"name": "r", "host": "h", "path_prefix": "/r/",
+                  "timeout_ms": 6000, "target_latency_ms": 800, "service": "s", "kind": """ + "\"" + routeKind + "\"" + routeFields + """
                 }],
-                 "services": [{"name": "s", "max_conns": """ + maxConnections + serviceFields + """
+                 "services": [{"name": "s", "max_conns": """ + maxConnections
+                + serviceFields + """
                 }], "limits": {}, "tenants": [""" + tenants
                 + "]}";
     }
@@ -638,6 +650,69 @@
         }
     };
 
+    /** Opens a stream at a router. */
+    FleetStream openStream(int vm) {
+        requestCount++;
+        FleetStream stream = new FleetStream("request-" + requestCount);
+        send(stream, stream.id(), vm);
+        return stream;
+    }
+
+    /** Takes up a stream at a router after the last event that its caller has received. */
+    void takeUp(FleetStream stream, int vm) {
+        requestCount++;
+        send(stream, "request-" + requestCount, vm);
+    }
+
+    private void send(FleetStream stream, String requestId, int vm) {
+        CallerExchange exchange = stream.nextExchange();
+        CallerRequest request = new CallerRequest(
+                requestId,
+                "POST",
+                "/r/x",
+                "h",
+                List.of(Map.entry("X-Test-Id", requestId)),
+                requestId.getBytes(UTF_8),
+                Optional.of("k0"),
+                OptionalLong.of(6_000),
+                Optional.of(
+                        new Prompt(100, OUTPUT_TOKENS, List.of(new Prompt.Part("s", 90), new Prompt.Part("o", 10)))),
+                stream.lastEventId(),
+                stream.lastEventId().isPresent() ? Optional.of(stream.id()) : Optional.empty());
+        nodes.get(vm).handle(nowMicros, running -> running.relay().accept(request, exchange));
+    }
+
+    /** Writes the entry of a target of a software version. */
+    void registerVersion(String name, String softwareVersion) {
+        softwareVersions.put(name, softwareVersion);
+        writeTarget(name, "10.1.4." + softwareVersions.size() + ":80", "ready");
+    }
+
+    /** Removes the entry of a target from the store. */
+    void removeTarget(String name) {
+        change(TargetCodec.KIND, new ObjectKinds.Change(new ObjectKinds.Entry(name, Json.object()), true));
+    }
+
+    private void scheduleEvents(HttpTransport.Request request, TargetCall call) {
+        String version = softwareVersions.getOrDefault(call.target, "");
+        int first = 1 + Integer.parseInt(request.header("Last-Event-Id").orElse("0"));
+        for (int id = first; id <= FleetStream.EVENTS; id++) {
+            String event = "id: " + id + "\ndata: " + version + "\n\n";
+            scheduleAt(nowMicros + ANSWER_BEGIN_MICROS + (id - first) * EVENT_MICROS, () -> {
+                if (!call.ended) {
+                    call.listener.onBody(event.getBytes(UTF_8));
+                }
+            });
+        }
+        long lastMicros = nowMicros + ANSWER_BEGIN_MICROS + (FleetStream.EVENTS - first) * EVENT_MICROS;
+        scheduleAt(lastMicros + 1, () -> {
+            if (!call.ended) {
+                call.end();
+                call.listener.onEnd();
+            }
+        });
+    }
+
     private HttpTransport.Call sendToTarget(HttpTransport.Request request, HttpTransport.Listener listener) {
         long tokens = Long.parseLong(request.header(TOKENS_HEADER).orElse("0"));
         String target = request.header(FleetTargets.nameHeader()).orElse("");
@@ -664,6 +739,11 @@
                 listener.onHead(200, name -> targets.answerHeader(target, name));
             }
         });
+        if (routeKind.equals("streaming")) {
+            targets.useStreams();
+            scheduleEvents(request, call);
+            return call;
+        }
         scheduleAt(nowMicros + TARGET_MICROS, () -> {
             if (!call.ended) {
                 call.end();
@@ -847,7 +927,8 @@
                 Optional.of("k" + (ofLargestWorkspace ? 0 : drawWorkspace())),
                 OptionalLong.of(6_000),
                 Optional.of(new Prompt(sharedTokens + uniqueTokens, OUTPUT_TOKENS, List.copyOf(parts))),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                Optional.empty());
         node.handle(nowMicros, running -> running.relay().accept(request, new Caller(failures)));
     }
 
@@ -1054,6 +1135,9 @@
                 .put("slots", 64)
                 .put("state", state)
                 .put("born", 1);
+        if (softwareVersions.containsKey(name)) {
+            content.put("version", softwareVersions.get(name));
+        }
         if (coldMillis > 0) {
             content.put("cold_left_ms", coldMillis);
         }
--- a/src/test/java/org/radishspan/platform/CodecsTest.java
+++ b/src/test/java/org/radishspan/platform/CodecsTest.java
@@ -19,6 +19,7 @@
 import org.radishspan.deployment.RouterEntry;
 import org.radishspan.deployment.ServiceSpec;
 import org.radishspan.deployment.TargetEntry;
+import org.radishspan.deployment.VersionReport;
 import org.radishspan.deployment.VmSettings;
 import org.radishspan.http.Json;
 import org.radishspan.relay.TargetProtocol.AnswerHead;
@@ -302,6 +303,18 @@
                     .draining());
         }
 
+        @DataProvider
+        public Object[][] softwareVersions() {
+            return new Object[][] {{"", ""}, {",'version':'v2'", "v2"}, {",'version':2", ""}};
+        }
+
+        @Test(dataProvider = "softwareVersions")
+        public void mayNameTheVersionOfTheirSoftware(String field, String expected) {
+            TargetEntry entry =
+                    TargetCodec.decode(json(TEXT.replace("}", field + "}"))).orElseThrow();
+            assertEquals(entry.softwareVersion(), expected);
+        }
+
         @DataProvider
         public Object[][] coldTimes() {
             return new Object[][] {
@@ -339,6 +352,21 @@
         }
     }
 
+    /** The reports by which routers keep the software versions of targets. */
+    public static class SoftwareVersions {
+        @Test
+        public void areDecodedAsTheyWereEncoded() {
+            VersionReport report = new VersionReport(Set.of("v1", ""), Map.of("v0", 1_700_000_000_000L));
+            assertEquals(VersionCodec.decode(VersionCodec.encode(report)), Optional.of(report));
+        }
+
+        @Test
+        public void thatAreInvalidAreRejected() {
+            assertEquals(VersionCodec.decode(json("{'versions':[{'version':'v1'}]}")), Optional.empty());
+            assertEquals(VersionCodec.decode(json("{'versions':3}")), Optional.empty());
+        }
+    }
+
     /** The headers by which targets report their state in responses. */
     public static class ResponseHeaders {
         private static AnswerHead head(int status, String name, String value) {
--- a/src/test/java/org/radishspan/relay/RelayHarness.java
+++ b/src/test/java/org/radishspan/relay/RelayHarness.java
@@ -1,6 +1,7 @@
 package org.radishspan.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
 import org.radishspan.deployment.ServiceSpec;
 import org.radishspan.deployment.TargetEntry;
 import org.radishspan.deployment.Workspace;
+import org.radishspan.error.ErrorKind;
 import org.radishspan.error.Failure;
 import org.radishspan.http.HttpTransport;
 import org.radishspan.log.EventLog;
@@ -40,6 +42,7 @@
 import org.radishspan.proto.SettleTokens;
 import org.radishspan.request.QuarantineTable;
 import org.radishspan.routing.Placement;
+import org.radishspan.routing.Target;
 import org.radishspan.routing.TargetTable;
 import org.radishspan.store.CallBudget;
 import org.radishspan.store.SharedObject;
@@ -238,7 +241,38 @@
         public void onTimeout(String vm) {}
     }
 
+    /** Remembers the streams of this relay, and knows those that the test adds. */
+    static final class KnownStreams implements StreamVersions {
+        final Map<String, String> versions = new HashMap<>();
+        final Set<String> notAnnounced = new HashSet<>();
+
+        @Override
+        public boolean mayBegin(Target target, long nowMillis) {
+            return !notAnnounced.contains(target.softwareVersion());
+        }
+
+        @Override
+        public void onBegun(String service, String streamId, String softwareVersion) {
+            versions.put(streamId, softwareVersion);
+        }
+
+        @Override
+        public void onComplete(String streamId) {
+            versions.remove(streamId);
+        }
+
+        @Override
+        public void find(String service, String streamId, Consumer<Either<Failure, String>> reply) {
+            String version = versions.get(streamId);
+            reply.accept(
+                    version == null
+                            ? Either.left(Failure.notRun(ErrorKind.NO_TARGET, "unknown stream"))
+                            : Either.right(version));
+        }
+    }
+
     final List<SentRequest> sent = new ArrayList<>();
+    final KnownStreams streams = new KnownStreams();
     final TargetTable targets = new TargetTable();
     private final Set<String> refusingHosts = new HashSet<>();
     final RelaySystem relay;
@@ -279,6 +313,7 @@
                         new HttpTargetProtocol(),
                         targets,
                         targetRules,
+                        streams,
                         new TokenClient("vm-1", shares, new NoKeeperClient()),
                         () -> configuration,
                         () -> 1,
@@ -410,6 +445,30 @@
                 nowMillis);
     }
 
+    /** Adds targets of one software version. */
+    void addTargets(String softwareVersion, String... names) {
+        for (String name : names) {
+            Address address = new Address("10.0.8." + targets.rows().size(), 80);
+            targets.register(new TargetEntry(name, "s", address, "a", 6, false, 1, 0, softwareVersion), nowMillis);
+        }
+    }
+
+    String softwareVersion(SentRequest request) {
+        return Objects.requireNonNull(targets.get(request.target())).softwareVersion();
+    }
+
+    /** Takes up a stream that another request has begun, after the last event that its caller has received. */
+    Caller takeUp(String streamId, long lastEventId) {
+        return call(
+                "stream",
+                Optional.of(KEY),
+                requestCount + 1,
+                0,
+                List.of("a", "b"),
+                OptionalLong.of(lastEventId),
+                Optional.of(streamId));
+    }
+
     /** Ends the target of a request before the answer: the connection is lost, and the target refuses others. */
     void crashTarget(SentRequest request) {
         refusingHosts.add(request.request.host());
@@ -457,6 +516,17 @@
     }
 
     private Caller call(String route, Optional<String> key, int bodyNumber, long waitedMillis, List<String> parts) {
+        return call(route, key, bodyNumber, waitedMillis, parts, OptionalLong.empty(), Optional.empty());
+    }
+
+    private Caller call(
+            String route,
+            Optional<String> key,
+            int bodyNumber,
+            long waitedMillis,
+            List<String> parts,
+            OptionalLong lastEventId,
+            Optional<String> resumedRequestId) {
         requestCount++;
         Caller caller = new Caller();
         Optional<Prompt> prompt = route.equals("stream") || route.equals("once")
@@ -478,7 +548,8 @@
                         key,
                         OptionalLong.of(1_500),
                         prompt,
-                        OptionalLong.empty()),
+                        lastEventId,
+                        resumedRequestId),
                 caller,
                 waitedMillis);
         return caller;
--- a/src/test/java/org/radishspan/relay/RelaySystemTest.java
+++ b/src/test/java/org/radishspan/relay/RelaySystemTest.java
@@ -354,6 +354,109 @@
         }
     }
 
+    /** Streams while targets of several software versions are in service. */
+    public static class SoftwareVersions {
+        private static RelayHarness harnessWithTwoVersions() {
+            RelayHarness harness = new RelayHarness(0);
+            harness.addTargets("v1", "old-1", "old-2");
+            harness.addTargets("v2", "new-1", "new-2");
+            return harness;
+        }
+
+        private static void beginStream(RelayHarness harness) {
+            harness.lastSent().head(200, "Content-Type", STREAM, "X-Server-Stamp", "stamp");
+            harness.lastSent().events(1, 3);
+        }
+
+        /** Guards against texts of which one software version wrote the beginning and another the rest (ORDER, issue 62). */
+        @Test
+        public void areNotMixedWithinOneAnswer() {
+            RelayHarness harness = harnessWithTwoVersions();
+            for (int i = 0; i < 30; i++) {
+                harness.call("stream");
+                String version = harness.softwareVersion(harness.lastSent());
+                beginStream(harness);
+                int sends = harness.sent.size();
+                harness.lastSent().loseConnection();
+                if (harness.sent.size() > sends) {
+                    assertEquals(harness.softwareVersion(harness.lastSent()), version);
+                    harness.lastSent().head(200, "Content-Type", STREAM, "X-Server-Stamp", "stamp");
+                    harness.lastSent().events(4, 5);
+                    harness.lastSent().end();
+                }
+                harness.advance(3_000);
+            }
+        }
+
+        @Test
+        public void breakOffStreamsWhoseVersionHasNoOtherTarget() {
+            RelayHarness harness = new RelayHarness(0);
+            harness.addTargets("v1", "old-1");
+            RelayHarness.Caller caller = harness.call("stream");
+            harness.addTargets("v2", "new-1");
+            beginStream(harness);
+            harness.lastSent().loseConnection();
+            assertEquals(harness.sent.size(), 1);
+            assertTrue(caller.aborted, "the stream must not look complete");
+        }
+
+        @Test
+        public void doNotMatterBeforeTheFirstEvent() {
+            RelayHarness harness = new RelayHarness(0);
+            harness.addTargets("v1", "old-1");
+            RelayHarness.Caller caller = harness.call("stream");
+            harness.addTargets("v2", "new-1");
+            harness.lastSent().head(200, "Content-Type", STREAM, "X-Server-Stamp", "stamp");
+            harness.lastSent().loseConnection();
+            assertEquals(harness.lastSent().target(), "new-1");
+            beginStream(harness);
+            assertEquals(caller.body.toString(), RelayHarness.events(1, 3));
+        }
+
+        @Test
+        public void areKeptWhenACallerTakesUpAStream() {
+            RelayHarness harness = harnessWithTwoVersions();
+            harness.streams.versions.put("stream-1", "v1");
+            harness.streams.versions.put("stream-2", "v2");
+            for (int i = 0; i < 10; i++) {
+                harness.takeUp("stream-1", 3);
+                assertEquals(harness.softwareVersion(harness.lastSent()), "v1");
+                assertEquals(harness.lastSent().request.header("Last-Event-Id"), Optional.of("3"));
+                harness.takeUp("stream-2", 3);
+                assertEquals(harness.softwareVersion(harness.lastSent()), "v2");
+            }
+        }
+
+        @Test
+        public void areRequiredToBeKnownWhenACallerTakesUpAStream() {
+            RelayHarness harness = harnessWithTwoVersions();
+            Failure failure = harness.takeUp("unknown", 3).failure();
+            assertEquals(failure.ran(), Failure.Ran.NO);
+            assertEquals(harness.sent.size(), 0);
+        }
+
+        @Test
+        public void thatHaveLeftLeadToARefusalWithoutRetryDelay() {
+            RelayHarness harness = harnessWithTwoVersions();
+            harness.streams.versions.put("stream-0", "v0");
+            Failure failure = harness.takeUp("stream-0", 3).failure();
+            assertEquals(failure.kind(), ErrorKind.NO_TARGET);
+            assertEquals(failure.ran(), Failure.Ran.NO);
+            assertEquals(failure.retryAfterMillis(), 0, "the version does not come back while the caller waits");
+            assertEquals(harness.sent.size(), 0);
+        }
+
+        @Test
+        public void areUsedForStreamsOnlyOnceAllRoutersKnowThem() {
+            RelayHarness harness = harnessWithTwoVersions();
+            harness.streams.notAnnounced.add("v2");
+            for (int i = 0; i < 10; i++) {
+                harness.call("stream");
+                assertEquals(harness.softwareVersion(harness.lastSent()), "v1");
+            }
+        }
+    }
+
     /** Streams that break, stall or are slow. */
     public static class Streams {
         @Test
--- a/src/test/java/org/radishspan/relay/TokenMeterTest.java
+++ b/src/test/java/org/radishspan/relay/TokenMeterTest.java
@@ -74,7 +74,8 @@
                 Optional.of("k"),
                 OptionalLong.empty(),
                 Optional.of(new Prompt(900, 100, List.of())),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                Optional.empty());
         RelayRequest.Terms terms = new RelayRequest.Terms(route, "s", Optional.empty(), Optional.of(workspace), false);
         List<Failure> failures = new ArrayList<>();
         new TokenMeter(source, EventLog.silent())
--- a/src/test/java/org/radishspan/relay/WaitingTokensTest.java
+++ b/src/test/java/org/radishspan/relay/WaitingTokensTest.java
@@ -96,7 +96,8 @@
                 Optional.of("k"),
                 OptionalLong.empty(),
                 Optional.of(new Prompt(REQUEST_TOKENS - 100, 100, List.of())),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                Optional.empty());
         RelayRequest request = new RelayRequest(
                 callerRequest,
                 new RelayRequest.Terms(route, "s", Optional.empty(), Optional.of(workspace), false),
