Kill the router that had committed in the test of a killed combiner

Cause: FrontFleetTest.Restores asked which router commits while the store was away for all.

Change: the test kills the router that committed when the store went away. That is what the row is documented to do (the router that had committed the last changes); before, it was the first router that happened to name no other one. All assertions stay. A comment in FrontRouter is wrapped.

Measured: FrontFleetTest.Restores with all rows, alone: passed.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -169,9 +169,10 @@
     private static final long CRASHES_WATCH_MILLIS = 10_000;
 
     /**
-     * How long a starting router waits for the lists of routers and of crashes, from the time at which the store answers. Without the list of routers it would hold
-     * shares of every budget and write the ledgers itself, and so would all routers that start at the same moment. Without
-     * the list of crashes it would send requests to targets that are known to crash them.
+     * How long a starting router waits for the lists of routers and of crashes, from the time at which the store answers.
+     * Without the list of routers it would hold shares of every budget and write the ledgers itself, and so would all routers
+     * that start at the same moment. Without the list of crashes it would send requests to targets that are known to crash
+     * them.
      */
     private static final long LIST_WAIT_MILLIS = 1_000;
 
--- a/src/test/java/org/radishspan/front/FrontFleetTest.java
+++ b/src/test/java/org/radishspan/front/FrontFleetTest.java
@@ -560,13 +560,15 @@
         }
 
         private static void restore(FrontFleet fleet, Beside beside, int routers) {
+            // While the store is away, no router needs to regard itself as the combiner.
+            int combiner = fleet.combiner();
             if (beside == Beside.COMBINER_CUT_OFF) {
-                fleet.isolate(fleet.combiner());
+                fleet.isolate(combiner);
             }
             fleet.setRoutersWithoutStore(routers);
             fleet.runCalls(AWAY_MILLIS);
             if (beside == Beside.COMBINER_KILLED) {
-                fleet.kill(fleet.combiner(), 1_500);
+                fleet.kill(combiner, 1_500);
             }
             if (beside == Beside.ALL_KILLED) {
                 for (int router = 0; router < routers; router++) {
