Name the queries and records of streams in plain terms

Cause: reading the diff as a newcomer, comments and private names of StreamOrigins spoke of what routers know, tell and ask.

Change: comments and private names only.

--- a/src/main/java/org/radishspan/front/FrontRouter.java
+++ b/src/main/java/org/radishspan/front/FrontRouter.java
@@ -529,7 +529,7 @@
     }
 
     /**
-     * Returns whether this router knows every software version at which a stream may have begun. Other routers let streams
+     * Returns whether every software version at which a stream may have begun is recorded here. Other routers let streams
      * begin at a version only when it has been in the store for this time.
      */
     private boolean versionsComplete() {
--- a/src/main/java/org/radishspan/front/StreamOrigins.java
+++ b/src/main/java/org/radishspan/front/StreamOrigins.java
@@ -32,31 +32,31 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 /**
- * Knows at which software version each stream began that a caller may take up at this router.
+ * Records at which software version each stream began, and finds that of streams that callers take up at this router.
  *
- * <p>While a service has one version, nothing is sent. Otherwise each router tells the keepers of a stream, which all routers
- * choose by the same hash, and a router that does not know a stream asks them. A stream that no router knows is refused.
+ * <p>While a service has one version, nothing is sent. Otherwise each stream is reported to its keepers, which all routers
+ * choose by the same hash. A router without a record of a stream queries the keepers. A stream without any record is refused.
  */
 final class StreamOrigins implements StreamVersions {
     /** The number of routers that keep the version of a stream, of which one may end together with the sender. */
     static final int KEEPERS = 2;
 
-    /** Maximum number of other routers in a deployment in which all of them are asked. */
-    private static final int MAX_ASKED = 16;
+    /** Maximum number of other routers in a deployment in which all of them are queried. */
+    private static final int MAX_QUERIED = 16;
 
-    /** Maximum number of known streams: those of 30 s at a router of the size expected in two years, with those kept for others. */
+    /** Maximum number of recorded streams: those of 30 s at a router of the size expected in two years, with those kept for others. */
     private static final int MAX_STREAMS = 16_384;
 
-    /** Maximum number of questions to other routers at a time; further ones are answered as not known. */
+    /** Maximum number of queries to other routers at a time; further ones are answered as not known. */
     private static final int MAX_SEARCHES = 1_024;
 
     /** Interval between two messages to a keeper. A stream whose router ends within it may not be taken up. */
     private static final long SEND_MILLIS = 50;
 
-    /** Time-out of a question to the keepers; they answer in a few milliseconds unless they are short of processor time. */
+    /** Time-out of a query to the keepers; they answer in a few milliseconds unless they are short of processor time. */
     private static final long SEARCH_MILLIS = 400;
 
-    /** Retry-After for a stream of which a router may know more that did not answer. */
+    /** Retry-After for a stream of which a router that did not answer may have a record. */
     private static final long RETRY_MILLIS = 500;
 
     private record Origin(String service, String softwareVersion, long atMillis, boolean own) {}
@@ -97,7 +97,7 @@
     private long nowMillis;
 
     /**
-     * Creates the origins that a router knows.
+     * Creates the records of a router.
      *
      * @param versionsComplete returns whether {@code versions} has every version at which a stream may have begun
      */
@@ -132,7 +132,7 @@
         long stream = hash(streamId);
         record(stream, new Origin(service, softwareVersion, nowMillis, true));
         if (hasSeveralVersions(service)) {
-            tellKeepers(stream, service, softwareVersion);
+            notifyKeepers(stream, service, softwareVersion);
         }
     }
 
@@ -148,7 +148,7 @@
         origins.put(stream, origin);
     }
 
-    private void tellKeepers(long stream, String service, String softwareVersion) {
+    private void notifyKeepers(long stream, String service, String softwareVersion) {
         for (String keeper : keepers(stream)) {
             if (!keeper.equals(vm)) {
                 unsent.computeIfAbsent(new GroupKey(keeper, service, softwareVersion), ignored -> new HashSet<>())
@@ -157,11 +157,11 @@
         }
     }
 
-    /** Returns the routers that may know a stream: in a small deployment all others, as the router where it began may be one. */
-    private List<String> askedFor(long stream) {
-        boolean all = peers.table().rows().size() <= MAX_ASKED;
-        List<String> mayKnow = peers.table().firstListed(Long.hashCode(stream), all ? MAX_ASKED + 1 : KEEPERS);
-        return mayKnow.stream().filter(other -> !other.equals(vm)).toList();
+    /** Returns the routers that may have a record of a stream: in a small deployment all others, as it may have begun at one. */
+    private List<String> queriedFor(long stream) {
+        boolean all = peers.table().rows().size() <= MAX_QUERIED;
+        List<String> possible = peers.table().firstListed(Long.hashCode(stream), all ? MAX_QUERIED + 1 : KEEPERS);
+        return possible.stream().filter(other -> !other.equals(vm)).toList();
     }
 
     private List<String> keepers(long stream) {
@@ -191,19 +191,19 @@
             return;
         }
         Search search = new Search(stream, service, nowMillis + SEARCH_MILLIS, reply);
-        List<String> asked = askedFor(stream);
-        if (asked.isEmpty() || pending.size() >= MAX_SEARCHES) {
+        List<String> queried = queriedFor(stream);
+        if (queried.isEmpty() || pending.size() >= MAX_SEARCHES) {
             fail(search, !versionsComplete.getAsBoolean());
             return;
         }
         searches.increment();
         searchCount++;
-        search.unanswered = asked.size();
+        search.unanswered = queried.size();
         pending.put(searchCount, search);
-        PeerMessage question = PeerMessage.newBuilder()
+        PeerMessage query = PeerMessage.newBuilder()
                 .setFindStream(FindStream.newBuilder().setCallId(searchCount).setStream(stream))
                 .build();
-        asked.forEach(keeper -> peers.sendTo(keeper, question));
+        queried.forEach(keeper -> peers.sendTo(keeper, query));
     }
 
     private static void answer(Origin origin, String service, Consumer<Either<Failure, String>> reply) {
@@ -263,7 +263,7 @@
         }
     }
 
-    /** Sends what keepers have to know, and ends questions that nobody answered. */
+    /** Sends what is new to keepers, and ends queries without an answer. */
     void tick(long tickMillis) {
         nowMillis = tickMillis;
         endSearches();
@@ -292,7 +292,7 @@
         }
     }
 
-    /** Tells keepers of the streams that began while their service had one version, when it gets a second one. */
+    /** Reports the streams that began while their service had one version to their keepers when it gets a second one. */
     private void announceOpenStreams() {
         for (String service : versions.services(nowMillis)) {
             if (!hasSeveralVersions(service)) {
@@ -308,7 +308,7 @@
                     .write();
             origins.forEach((stream, origin) -> {
                 if (origin.own() && origin.service().equals(service)) {
-                    tellKeepers(stream, service, origin.softwareVersion());
+                    notifyKeepers(stream, service, origin.softwareVersion());
                 }
             });
         }
--- a/src/main/java/org/radishspan/relay/StreamVersions.java
+++ b/src/main/java/org/radishspan/relay/StreamVersions.java
@@ -7,7 +7,7 @@
 import org.radishspan.routing.Target;
 
 /**
- * Knows at which software version of its targets each stream began.
+ * Records at which software version of its targets each stream began.
  *
  * <p>What two software versions write does not fit together, and targets do not check this. A stream may therefore go on only
  * at targets of the version that began it.
--- a/src/main/java/org/radishspan/routing/SoftwareVersions.java
+++ b/src/main/java/org/radishspan/routing/SoftwareVersions.java
@@ -9,7 +9,7 @@
 /**
  * The software versions of the targets of each service: those in service, and those that were lately.
  *
- * <p>A stream that is taken up began at one of them. If there was only one, every router knows at which.
+ * <p>A stream that is taken up began at one of them. If there was only one, it is known without a record of the stream.
  */
 public final class SoftwareVersions {
     /** How long after its beginning a stream may be taken up: the longest time for which callers wait for an answer. */
@@ -37,7 +37,7 @@
     /**
      * Creates the versions of the targets in a table.
      *
-     * @param announceMillis the time after which all routers in touch with the store know a new version
+     * @param announceMillis the time after which all routers in touch with the store have read a new version
      */
     public SoftwareVersions(TargetTable targets, long announceMillis) {
         this.targets = targets;
@@ -149,7 +149,7 @@
 
     /**
      * Returns whether streams that may be taken up at other routers may begin at a target. They begin at a new version only
-     * when all routers know it, unless no other version is left.
+     * when all routers have read it, unless no other version is left.
      */
     public boolean mayBegin(Target target, long nowMillis) {
         refresh(nowMillis);
--- a/src/main/java/org/radishspan/routing/TargetTable.java
+++ b/src/main/java/org/radishspan/routing/TargetTable.java
@@ -543,7 +543,7 @@
     }
 
     /**
-     * How much room the targets of a service have, as far as this router knows.
+     * How much room the targets of a service have, by their last reports and the requests of this router.
      *
      * @param targets the targets that may be sent work
      * @param withFreeSlot those of them that had a free slot by their last reports and by the requests of this router
