--- a/src/main/java/org/radishspan/relay/WaitingTokens.java
+++ b/src/main/java/org/radishspan/relay/WaitingTokens.java
@@ -23,11 +23,8 @@
      */
     private static final double HELD_FRACTION = 0.01;
 
-    /**
-     * For so many waiting requests of a budget, tokens may be reserved again at a time although fewer targets have room. A
-     * reservation takes longer than the time after which a target has room again.
-     */
-    private static final int MIN_RESERVED_AGAIN = 4;
+    /** The maximum number of waiting requests of a budget for which tokens were reserved again. More could not be sent soon. */
+    private static final int MAX_RESERVED_AGAIN = 4;
 
     private enum State {
         KEPT,
@@ -87,18 +84,16 @@
     /**
      * Returns whether a request has the tokens that it needs to be sent. If they were returned, they are reserved again.
      *
-     * @param targetsWithRoom the number of targets that have room; tokens are reserved again for about as many requests
      * @param onReserved run if the tokens are reserved later than during this call
      * @param onRefused run if they cannot be reserved, possibly during this call
      */
-    boolean ready(RelayRequest request, IntSupplier targetsWithRoom, Runnable onReserved, Consumer<Failure> onRefused) {
+    boolean ready(RelayRequest request, Runnable onReserved, Consumer<Failure> onRefused) {
         WaitingRequest state = waiting.get(request);
         if (state == null || state.state == State.KEPT || state.state == State.RESERVED_AGAIN) {
             return true;
         }
         int reservedAgain = reservedAgainByBudget.getOrDefault(state.budget, 0);
-        boolean enough = reservedAgain >= MIN_RESERVED_AGAIN && reservedAgain >= targetsWithRoom.getAsInt();
-        if (state.state == State.REQUESTED || enough) {
+        if (state.state == State.REQUESTED || reservedAgain >= MAX_RESERVED_AGAIN) {
             return false;
         }
         state.state = State.REQUESTED;
